--- /dev/null
+++ b/attempt.go
@@ -0,0 +1,50 @@
+package catkinspindle
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// Attempt is what one attempt adds to an envelope.
+type Attempt struct {
+	Replica   Replica
+	Workspace string
+	// Left is the time that the replica may use.
+	Left time.Duration
+	// AfterEvent is the last event that the caller has.
+	AfterEvent string
+	// Version is the model version that must answer; empty for any.
+	Version string
+	Urgency int
+	// Helpers are addresses of replicas that read parts of the prompt.
+	Helpers []string
+}
+
+// AnswerHead is what a replica's answer says before its body.
+type AnswerHead struct {
+	Status int
+	Header http.Header
+	// ID is the request's, as the replica repeats it.
+	ID string
+	// NotRun is the replica's word that it did not execute the request.
+	NotRun bool
+	// Sealed tells a replica's answer from other bytes.
+	Sealed bool
+	// Culprit is the replica at fault when it is not the one that answers.
+	Culprit string
+	// Version is the version of the model that answers.
+	Version string
+	// Encoded bodies are not the replica's own.
+	Encoded bool
+	// KeepAlive is how long the replica keeps an idle connection; zero when it
+	// does not say.
+	KeepAlive time.Duration
+}
+
+// Answer is an answer of a replica.
+type Answer struct {
+	AnswerHead
+	// Body ends with io.EOF only when the answer is whole.
+	Body io.ReadCloser
+}
--- a/events/event.go
+++ b/events/event.go
@@ -17,6 +17,16 @@
 	ConfigRefused     Event = 2003
 	ConfigUnreadable  Event = 2004
 	PlatformFailed    Event = 2101
+	PlatformRegained  Event = 2102
+	NodeReloaded      Event = 1005
+	HubChanged        Event = 3003
+	FellowLost        Event = 3004
+	FellowSeen        Event = 3005
+	ReplicaChanged    Event = 4004
+	ReplicaFailed     Event = 4005
+	RequestEnded      Event = 5003
+	RequestPlaced     Event = 5004
+	LinesDropped      Event = 1006
 	PeerMalformed     Event = 3001
 	PeerUnreachable   Event = 3002
 	EngineUnreachable Event = 4001
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,421 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/eventstream"
+)
+
+const (
+	// maxPlain bounds an answer that is no stream, in bytes.
+	maxPlain = 16 << 20
+	// maxUnsent bounds the replicas that are tried without a connection.
+	maxUnsent = 3
+	// minStall is the shortest silence of a replica that counts as a failure.
+	minStall = 1200 * time.Millisecond
+	// minRefusal is the shortest Retry-After.
+	minRefusal = 50 * time.Millisecond
+	// callerStall is how long a caller may leave an event unread.
+	callerStall = 5 * time.Second
+)
+
+// exchange is one request of a caller.
+type exchange struct {
+	gateway   *Gateway
+	w         http.ResponseWriter
+	arrived   time.Time
+	deadline  time.Time
+	version   int64
+	route     catkinspindle.Route
+	service   string
+	workspace string
+	priority  int
+	envelope  catkinspindle.Envelope
+	replicas  map[string]catkinspindle.Replica
+	held      int64
+
+	// sent counts replicas that the request was written to, unsent those that
+	// could not be reached.
+	sent   int
+	unsent int
+	avoid  []string
+	// verdict is the highest that any attempt left open.
+	verdict catkinspindle.Verdict
+	// first is the time to the first event or answer.
+	first time.Duration
+	last  string
+	// started is true once the answer's head has been sent to the caller.
+	started bool
+	status  int
+	model   string
+	replica string
+	placing time.Duration
+}
+
+// serve places and forwards the request until it has an answer or a failure.
+func (x *exchange) serve(ctx context.Context) *catkinspindle.Failure {
+	g := x.gateway
+	now := time.Now()
+	g.budget.Request(now, x.service)
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	x.last = x.envelope.AfterEvent
+	for {
+		if f := x.over(ctx); f != nil {
+			return f
+		}
+		if x.sent > 0 && !g.budget.Repeat(time.Now(), x.service) {
+			return x.fail(catkinspindle.ReasonBackendFailed, "the budget of repeats is used up")
+		}
+		p := x.place(ctx)
+		if f := x.over(ctx); f != nil {
+			if !p.Refused() {
+				g.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+			}
+			return f
+		}
+		if p.Refused() {
+			return x.refused(p)
+		}
+		done, f := x.attempt(ctx, p)
+		if done || f != nil {
+			return f
+		}
+	}
+}
+
+func (x *exchange) over(ctx context.Context) *catkinspindle.Failure {
+	if ctx.Err() == nil {
+		return nil
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return x.fail(catkinspindle.ReasonDeadline, "the time is over")
+	}
+	return x.fail(reasonGone, "the caller has gone")
+}
+
+// reasonGone is logged for callers that have closed their connection.
+const reasonGone catkinspindle.Reason = "caller-gone"
+
+func (x *exchange) fail(r catkinspindle.Reason, text string) *catkinspindle.Failure {
+	return catkinspindle.Fail(x.verdict, r, "%s", text).WithRetryAfter(minRefusal)
+}
+
+func (x *exchange) refused(p catkinspindle.Placement) *catkinspindle.Failure {
+	f := catkinspindle.Fail(x.verdict, p.Reason, "no replica can serve the request in time")
+	return f.WithRetryAfter(max(minRefusal, p.RetryAfter))
+}
+
+func (x *exchange) place(ctx context.Context) catkinspindle.Placement {
+	now := time.Now()
+	p := x.gateway.placer.Place(ctx, catkinspindle.Job{
+		Service:    x.service,
+		Prompt:     x.envelope.PromptTokens,
+		Answer:     x.envelope.AnswerTokens,
+		Left:       x.deadline.Sub(now),
+		Aim:        x.arrived.Add(x.route.Aim).Sub(now),
+		MaxPause:   x.route.MaxPause,
+		Priority:   x.priority,
+		Avoid:      x.avoid,
+		Again:      x.sent > 0,
+		DataCentre: x.gateway.dataCentre,
+	})
+	x.placing += time.Since(now)
+	return p
+}
+
+// attempt sends the request to the placed replica. done is true when the
+// caller has its answer; otherwise a nil failure asks for another attempt.
+func (x *exchange) attempt(ctx context.Context, p catkinspindle.Placement) (done bool, f *catkinspindle.Failure) {
+	g := x.gateway
+	began := time.Now()
+	e := catkinspindle.Ending{Job: p.Job, Replica: p.Replica}
+	x.replica = p.Replica
+	x.replicas = g.view.State().Replicas
+	replica, ok := x.replicas[p.Replica]
+	if !ok || replica.Service != x.service {
+		// The coordinator knows a replica that this node has not heard of.
+		e.Outcome = catkinspindle.OutcomeGivenUp
+		g.placer.End(e)
+		return false, x.next(&e, p.Replica)
+	}
+	e.Outcome = catkinspindle.OutcomeFailed
+	defer func() {
+		e.Total = time.Since(began)
+		g.placer.End(e)
+	}()
+	attemptCtx, stall := newStall(ctx, x.stallLimit(p))
+	defer stall.stop()
+	answer, err := g.sender.Send(attemptCtx, x.envelope, catkinspindle.Attempt{
+		Replica:    replica,
+		Workspace:  x.workspace,
+		Left:       time.Until(x.deadline),
+		AfterEvent: x.last,
+		Version:    x.model,
+		Urgency:    p.Urgency,
+		Helpers:    x.helpers(p),
+	}, x.route.Repeat == catkinspindle.RepeatNever)
+	if err != nil {
+		failure := catkinspindle.AsFailure(err)
+		if failure.Verdict == catkinspindle.NotRun {
+			e.Outcome = catkinspindle.OutcomeUnreachable
+			if ctx.Err() != nil {
+				e.Outcome = catkinspindle.OutcomeGivenUp
+			}
+			return false, x.next(&e, p.Replica)
+		}
+		x.sent++
+		x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
+		x.logAttempt(p, "broken", err)
+		return false, x.retry(ctx, &e, p.Replica)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	x.sent++
+	if answer.NotRun {
+		e.Outcome = catkinspindle.OutcomeRefused
+		e.Culprit = answer.Culprit
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, readChunk)) // Only to keep the connection.
+		x.logAttempt(p, "refused", nil)
+		return false, x.retry(ctx, &e, p.Replica)
+	}
+	x.verdict = catkinspindle.Ran
+	if answer.Status/100 == 2 && x.route.Streaming {
+		return x.stream(ctx, p, answer, stall, &e, began)
+	}
+	return x.plain(ctx, p, answer, &e, began)
+}
+
+// next moves on to another replica after one that got nothing.
+func (x *exchange) next(e *catkinspindle.Ending, replica string) *catkinspindle.Failure {
+	x.unsent++
+	x.avoid = append(x.avoid, replica)
+	if x.unsent >= maxUnsent {
+		return x.fail(catkinspindle.ReasonNoBackend, "no replica could be reached")
+	}
+	_ = e
+	return nil
+}
+
+// retry returns nil when the request may go to another replica.
+func (x *exchange) retry(ctx context.Context, e *catkinspindle.Ending, replica string) *catkinspindle.Failure {
+	x.avoid = append(x.avoid, replica)
+	if f := x.over(ctx); f != nil {
+		e.Outcome = catkinspindle.OutcomeGivenUp
+		return f
+	}
+	if x.route.Repeat == catkinspindle.RepeatNever && x.verdict != catkinspindle.NotRun {
+		return x.fail(catkinspindle.ReasonBackendFailed, "the replica broke off and the request may run once only")
+	}
+	if x.sent >= x.route.MaxAttempts {
+		return x.fail(catkinspindle.ReasonBackendFailed, "all attempts failed")
+	}
+	return nil
+}
+
+// helpers returns the addresses of the replicas that read parts.
+func (x *exchange) helpers(p catkinspindle.Placement) []string {
+	list := make([]string, 0, len(p.Helpers))
+	for _, id := range p.Helpers {
+		if r, ok := x.replicas[id]; ok && r.Service == x.service {
+			list = append(list, r.Address)
+		}
+	}
+	return list
+}
+
+// stallLimit is the silence after which the replica counts as failed.
+func (x *exchange) stallLimit(p catkinspindle.Placement) time.Duration {
+	if !x.route.Streaming {
+		return max(minStall, 4*x.route.Aim)
+	}
+	return max(minStall, 3*p.First, 3*x.route.MaxPause, 4*x.route.Aim)
+}
+
+// plain forwards an answer that is no stream.
+func (x *exchange) plain(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, e *catkinspindle.Ending, began time.Time) (bool, *catkinspindle.Failure) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlain+1))
+	if err == nil && len(body) > maxPlain {
+		err = errors.New("answer is too large")
+	}
+	if err != nil {
+		x.logAttempt(p, "broken", err)
+		return false, x.retry(ctx, e, p.Replica)
+	}
+	e.First = time.Since(began)
+	if answer.Status >= http.StatusInternalServerError {
+		x.logAttempt(p, "failed with status "+strconv.Itoa(answer.Status), nil)
+		if x.route.Repeat != catkinspindle.RepeatNever && x.retry(ctx, e, p.Replica) == nil && !x.started {
+			return false, nil
+		}
+		if x.started {
+			return false, x.fail(catkinspindle.ReasonBackendFailed, "the replica could not go on")
+		}
+	} else {
+		e.Outcome = catkinspindle.OutcomeDone
+	}
+	if x.started {
+		return false, x.fail(catkinspindle.ReasonBackendFailed, "the answer to a resumed stream is no stream")
+	}
+	x.first = time.Since(x.arrived)
+	x.head(answer)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(answer.Status)
+	if _, err := x.w.Write(body); err != nil {
+		return true, x.fail(reasonGone, "the caller has gone")
+	}
+	return true, nil
+}
+
+func (x *exchange) head(answer *catkinspindle.Answer) {
+	x.started = true
+	x.status = answer.Status
+	x.model = answer.Version
+	h := x.w.Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+}
+
+// stream forwards whole events as they come.
+func (x *exchange) stream(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, stall *stall, e *catkinspindle.Ending, began time.Time) (bool, *catkinspindle.Failure) {
+	reader := eventstream.New(answer.Body)
+	control := http.NewResponseController(x.w)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			e.Outcome = catkinspindle.OutcomeDone
+			if !x.started {
+				x.head(answer)
+				x.w.WriteHeader(answer.Status)
+			}
+			return true, nil
+		}
+		if err == nil {
+			err = x.follows(event)
+		}
+		if errors.Is(err, errPassed) {
+			continue
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				x.logAttempt(p, "stream broken after event "+x.last, err)
+			}
+			if f := x.retry(ctx, e, p.Replica); f != nil {
+				return false, f
+			}
+			if x.route.Repeat != catkinspindle.RepeatResume && x.started {
+				return false, x.fail(catkinspindle.ReasonBackendFailed, "the stream cannot be resumed")
+			}
+			return false, nil
+		}
+		stall.reset()
+		if e.First == 0 {
+			e.First = time.Since(began)
+		}
+		if !x.started {
+			x.first = time.Since(x.arrived)
+			x.head(answer)
+			x.w.WriteHeader(answer.Status)
+		}
+		err = control.SetWriteDeadline(time.Now().Add(callerStall))
+		if err == nil {
+			_, err = x.w.Write(event.Bytes)
+		}
+		if err == nil {
+			err = control.Flush()
+		}
+		if err != nil {
+			e.Outcome = catkinspindle.OutcomeGivenUp
+			return false, x.fail(reasonGone, "the caller has gone")
+		}
+		if event.ID != "" {
+			x.last = event.ID
+		}
+	}
+}
+
+var (
+	errPassed = errors.New("event was passed on before")
+	errGap    = errors.New("events are missing")
+)
+
+// follows checks that an event is the one after the last that was passed on.
+func (x *exchange) follows(event eventstream.Event) error {
+	last, err := strconv.ParseInt(x.last, 10, 64)
+	if err != nil {
+		return nil
+	}
+	n, err := event.Number()
+	if err != nil {
+		return nil
+	}
+	if n <= last {
+		return errPassed
+	}
+	if n > last+1 {
+		return errGap
+	}
+	return nil
+}
+
+// end writes the failure, if any, and the log line of the request.
+func (x *exchange) end(r *http.Request, f *catkinspindle.Failure) {
+	g := x.gateway
+	g.held.Add(-x.held)
+	total := time.Since(x.arrived)
+	abort := f != nil && (x.started || f.Reason == reasonGone)
+	if f != nil && !abort {
+		x.status = writeFailure(x.w, f)
+	}
+	x.measure(f, total)
+	attrs := []any{
+		events.RequestEnded.Attr(), "request", x.envelope.ID, "route", x.route.Name, "workspace", x.workspace,
+		"status", x.status, "total", total, "first", x.first, "placing", x.placing, "attempts", x.sent, "replica", x.replica,
+		"prompt-tokens", x.envelope.PromptTokens, "version", x.version,
+	}
+	if f == nil {
+		g.log.Info("request answered", attrs...)
+		return
+	}
+	attrs = append(attrs, "reason", string(f.Reason), "verdict", f.Verdict.String(), "retry-after", f.RetryAfter, "cause", f.Err.Error(), "cut", abort)
+	if x.envelope.ID == "" {
+		attrs = append(attrs, "host", r.Host, "target", r.RequestURI)
+	}
+	g.log.Info("request failed", attrs...)
+	if abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) measure(f *catkinspindle.Failure, total time.Duration) {
+	m := x.gateway.metrics
+	name := "requests-answered"
+	if f != nil {
+		name = "requests-failed-" + string(f.Reason)
+	}
+	metrics.GetOrRegisterCounter(name, m).Inc(1)
+	if f == nil {
+		metrics.GetOrRegisterTimer("request-time", m).Update(total)
+		metrics.GetOrRegisterTimer("first-event-time", m).Update(x.first)
+	}
+}
+
+func (x *exchange) logAttempt(p catkinspindle.Placement, outcome string, err error) {
+	attrs := []any{events.ReplicaFailed.Attr(), "request", x.envelope.ID, "replica", p.Replica, "helpers", len(p.Helpers), "outcome", outcome, "expected-first", p.First}
+	if err != nil {
+		attrs = append(attrs, "error", err.Error())
+	}
+	x.gateway.log.Info("attempt failed", attrs...)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,248 @@
+// Package gateway serves callers over HTTP: it finds the route and workspace of
+// a request, has it placed, forwards it, and repeats or resumes it elsewhere
+// where that is allowed. Each request ends with the replica's answer or with a
+// refusal that says truthfully whether it may have been executed.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/retries"
+	"github.com/catkinspindle/catkinspindle/routes"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+const (
+	// notReadyRetry is sent by a node that knows no configuration yet.
+	notReadyRetry = time.Second
+	// stoppingRetry is sent when a request comes too late during a stop.
+	stoppingRetry = 100 * time.Millisecond
+	// readChunk is the size in bytes by which a body's buffer grows.
+	readChunk = 4 << 10
+)
+
+// Codec reads what the callers' interface says.
+type Codec struct {
+	Key     func(*http.Request) (string, bool)
+	Request func(r *http.Request, body []byte) (catkinspindle.Envelope, error)
+}
+
+// Placer places the jobs of this node.
+type Placer interface {
+	Place(ctx context.Context, j catkinspindle.Job) catkinspindle.Placement
+	End(e catkinspindle.Ending)
+}
+
+// Sender sends a request to a replica once.
+type Sender interface {
+	Send(ctx context.Context, e catkinspindle.Envelope, a catkinspindle.Attempt, fresh bool) (*catkinspindle.Answer, error)
+}
+
+// Gateway is the handler of callers' requests.
+type Gateway struct {
+	view       *view.View
+	placer     Placer
+	sender     Sender
+	budget     *retries.Budget
+	codec      Codec
+	dataCentre string
+	log        *slog.Logger
+	metrics    metrics.Registry
+
+	inFlight atomic.Int64
+	closing  atomic.Bool
+	refusing atomic.Bool
+	held     atomic.Int64
+	maxHeld  int64
+}
+
+// Option changes a gateway.
+type Option func(*Gateway)
+
+// WithDataCentre says where the gateway runs.
+func WithDataCentre(name string) Option { return func(g *Gateway) { g.dataCentre = name } }
+
+// WithMetrics registers counters and histograms in r.
+func WithMetrics(r metrics.Registry) Option { return func(g *Gateway) { g.metrics = r } }
+
+// WithMaxHeld bounds the bytes of bodies in memory.
+func WithMaxHeld(n int64) Option { return func(g *Gateway) { g.maxHeld = n } }
+
+// New returns a gateway.
+func New(v *view.View, p Placer, s Sender, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
+	g := &Gateway{view: v, placer: p, sender: s, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), maxHeld: 64 << 20}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
+}
+
+// InFlight returns the number of requests that have not ended.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// CloseConnections makes each answer the last on its connection.
+func (g *Gateway) CloseConnections() { g.closing.Store(true) }
+
+// Refuse makes the gateway refuse new requests.
+func (g *Gateway) Refuse() { g.refusing.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	x := &exchange{gateway: g, w: w, arrived: time.Now()}
+	if g.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	f := x.admit(r)
+	if f == nil {
+		f = x.serve(r.Context())
+	}
+	x.end(r, f)
+}
+
+// admit finds out what the request is and reads its body.
+func (x *exchange) admit(r *http.Request) *catkinspindle.Failure {
+	g := x.gateway
+	state := g.view.State()
+	x.version = state.Version()
+	if state.Table == nil {
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNotReady, "no configuration is known yet").WithRetryAfter(notReadyRetry)
+	}
+	if g.refusing.Load() {
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "this node is stopping").WithRetryAfter(stoppingRetry)
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "target %q is no path", r.RequestURI)
+	}
+	route, ok := state.Table.Find(r.Host, path)
+	if !ok {
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonUnknownTarget, "no route for %s%s", r.Host, path)
+	}
+	x.route = route
+	x.priority = route.Priority
+	if state.Table.NeedsKey(route) {
+		key, _ := g.codec.Key(r)
+		holder, ok := state.Table.Holder(key)
+		if !ok {
+			return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonUnauthorized, "unknown key")
+		}
+		x.workspace = holder.Workspace
+		if holder.Priority != nil {
+			x.priority = *holder.Priority
+		}
+	}
+	body, err := g.readBody(x.w, r, state.Table.Routing().Limits.MaxBody)
+	if err != nil {
+		return bodyFailure(err)
+	}
+	x.held = int64(len(body))
+	x.envelope, err = g.codec.Request(r, body)
+	if err != nil {
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "%w", err)
+	}
+	x.service = routes.Target(route, rand.Float64())
+	x.replicas = state.Replicas
+	limit := route.Timeout
+	if t := x.envelope.Timeout; t > 0 && (limit <= 0 || t < limit) {
+		limit = t
+	}
+	x.deadline = x.arrived.Add(limit)
+	return nil
+}
+
+var errHeld = errors.New("too many bytes of bodies are held")
+
+// readBody reads a body of at most limit bytes.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if limit > 0 && r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if g.held.Load()+max(readChunk, r.ContentLength) > g.maxHeld {
+		return nil, errHeld
+	}
+	src := io.Reader(r.Body)
+	if limit > 0 {
+		src = http.MaxBytesReader(w, r.Body, limit)
+	}
+	var (
+		body []byte
+		err  error
+	)
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(src, body)
+	} else {
+		body, err = io.ReadAll(src)
+	}
+	if err != nil {
+		return nil, err
+	}
+	g.held.Add(int64(len(body)))
+	return body, nil
+}
+
+func bodyFailure(err error) *catkinspindle.Failure {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonTooLarge, "body: %w", err)
+	case errors.Is(err, errHeld):
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "body: %w", err).WithRetryAfter(stoppingRetry)
+	}
+	return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "body: %w", err)
+}
+
+// statuses of failures that were not run. All others promise nothing.
+var statuses = map[catkinspindle.Reason]int{
+	catkinspindle.ReasonBadRequest:    http.StatusBadRequest,
+	catkinspindle.ReasonUnauthorized:  http.StatusUnauthorized,
+	catkinspindle.ReasonUnknownTarget: http.StatusNotFound,
+	catkinspindle.ReasonTooLarge:      http.StatusRequestEntityTooLarge,
+}
+
+// status returns the status that reports f: 503 only for what has not run and
+// never will.
+func status(f *catkinspindle.Failure) int {
+	if f.Verdict != catkinspindle.NotRun {
+		if f.Reason == catkinspindle.ReasonDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	if s, ok := statuses[f.Reason]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+// writeFailure answers with f.
+func writeFailure(w http.ResponseWriter, f *catkinspindle.Failure) int {
+	s := status(f)
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if f.RetryAfter > 0 && s == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	text := string(f.Reason) + " (" + f.Verdict.String() + ")\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(s)
+	_, _ = io.WriteString(w, text) // A caller that has gone needs no answer.
+	return s
+}
--- /dev/null
+++ b/gatewaynode/node.go
@@ -0,0 +1,255 @@
+// Package gatewaynode builds a node that serves the platform's callers. All
+// that it knows lies in the store and in other nodes; its VM has no disk.
+package gatewaynode
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/addresses"
+	"github.com/catkinspindle/catkinspindle/coordinator"
+	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/fleet"
+	"github.com/catkinspindle/catkinspindle/gateway"
+	"github.com/catkinspindle/catkinspindle/keys"
+	"github.com/catkinspindle/catkinspindle/peers"
+	"github.com/catkinspindle/catkinspindle/placement"
+	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/replicas"
+	"github.com/catkinspindle/catkinspindle/retries"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+const (
+	// lifetime is how long callers may keep an address answer. Some keep it
+	// three times as long, which must fit into the time of a planned stop.
+	lifetime = 1500 * time.Millisecond
+	// joinRetry is the pause after a failed call on the way into the fleet.
+	joinRetry = 250 * time.Millisecond
+	// heldShare is the part of the VM's memory that bodies may take.
+	heldShare = 0.2
+
+	keysKind = "catkinspindle-keys"
+	keysName = "fleet"
+)
+
+// Node is a running node. It implements catkinspindle.Service.
+type Node struct {
+	settings catkinspindle.GatewaySettings
+	log      *slog.Logger
+	metrics  metrics.Registry
+	store    catkinspindle.ObjectStore
+
+	self        catkinspindle.Fellow
+	view        *view.View
+	planner     *placement.Planner
+	replicas    *replicas.Client
+	budget      *retries.Budget
+	gateway     *gateway.Gateway
+	listeners   *listeners
+	transport   *peers.Transport
+	fleet       *fleet.Fleet
+	coordinator *coordinator.Coordinator
+
+	group  *errgroup.Group
+	cancel context.CancelFunc
+	joined chan struct{}
+}
+
+// Option changes a node.
+type Option func(*Node)
+
+// WithStore replaces the client of the platform's store.
+func WithStore(s catkinspindle.ObjectStore) Option { return func(n *Node) { n.store = s } }
+
+// New returns a node that has not started.
+func New(s catkinspindle.GatewaySettings, log *slog.Logger, opts ...Option) *Node {
+	n := &Node{
+		settings: s,
+		log:      log.With("vm", s.Name),
+		metrics:  metrics.NewRegistry(),
+		self: catkinspindle.Fellow{
+			Name:           s.Name,
+			Incarnation:    time.Now().UnixNano(),
+			PeerAddress:    s.Peers,
+			CallersAddress: s.Callers,
+			DataCentre:     s.DataCentre,
+		},
+		joined: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	if n.store == nil {
+		n.store = platform.NewStore(s.Store)
+	}
+	n.planner = placement.New()
+	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics))
+	n.budget = retries.New(s.Retry, 1)
+	n.view = view.New(n.viewChanged)
+	n.gateway = gateway.New(n.view, n, n.replicas, n.budget,
+		gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, n.log,
+		gateway.WithDataCentre(s.DataCentre), gateway.WithMetrics(n.metrics),
+		gateway.WithMaxHeld(int64(heldShare*float64(s.MemoryMB)*(1<<20))))
+	answerer := addresses.New(n.live, n.ready, lifetime, platform.EncodeAddresses)
+	n.listeners = newListeners(s, n.gateway, answerer, n.metrics, n.log)
+	return n
+}
+
+// Start implements catkinspindle.Service. The node answers that it is not
+// ready until it has joined the fleet.
+func (n *Node) Start(ctx context.Context) error {
+	if err := n.listeners.Start(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.group = &errgroup.Group{}
+	n.group.Go(func() error { return n.join(ctx) })
+	n.log.Info("node started", events.NodeStarted.Attr(), "incarnation", n.self.Incarnation, "store", n.settings.Store)
+	return nil
+}
+
+// join enters the fleet, however long the store is away.
+func (n *Node) join(ctx context.Context) error {
+	seed, err := n.secret(ctx)
+	if err != nil {
+		return err
+	}
+	config, err := keys.FleetTLS(seed, peers.Protocol)
+	if err != nil {
+		return err
+	}
+	n.transport = peers.NewWithTLS(n.settings.Peers, config, n.log)
+	n.fleet = fleet.New(n.self, n.transport, n.view, n.watch, n.log,
+		fleet.WithCoordinatorChange(n.coordinatorChanged),
+		fleet.WithDeath(func(f catkinspindle.Fellow) { n.coordinator.Bury(f) }))
+	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.log)
+	if err := errors.Join(n.transport.Start(ctx), n.coordinator.Start(ctx)); err != nil {
+		return err
+	}
+	rank, err := n.register(ctx)
+	if err != nil {
+		return err
+	}
+	n.self.Rank = rank
+	n.fleet.LearnOne(n.self)
+	if err := n.fleet.Start(ctx); err != nil {
+		return err
+	}
+	close(n.joined)
+	return nil
+}
+
+// secret returns the secret of the fleet, which the first node creates.
+func (n *Node) secret(ctx context.Context) ([]byte, error) {
+	seed, err := keys.NewSeed()
+	if err != nil {
+		return nil, err
+	}
+	type secret struct {
+		Seed string `json:"seed"`
+	}
+	var got secret
+	err = n.persist(ctx, "secret of the fleet", func() error {
+		o, err := n.store.Create(ctx, keysKind, keysName, secret{Seed: base64.StdEncoding.EncodeToString(seed)})
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(o.Spec, &got)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return base64.StdEncoding.DecodeString(got.Seed)
+}
+
+func (n *Node) register(ctx context.Context) (rank int64, err error) {
+	err = n.persist(ctx, "registration", func() error {
+		var err error
+		rank, err = n.store.Write(ctx, platform.NodesKind, n.self.Name, n.self)
+		return err
+	})
+	return rank, err
+}
+
+// persist repeats f until it succeeds or ctx ends.
+func (n *Node) persist(ctx context.Context, what string, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		n.log.Warn("not joined yet", events.PlatformFailed.Attr(), "what", what, "error", err)
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w", what, ctx.Err())
+		case <-time.After(joinRetry):
+		}
+	}
+}
+
+// viewChanged hands a new view to those who work with it.
+func (n *Node) viewChanged(s *view.State) {
+	if s.Table != nil {
+		n.planner.SetServices(s.Table.Routing().Services)
+		n.listeners.SetLimits(s.Table.Routing().Limits)
+	}
+	n.planner.SetReplicas(s.Replicas)
+	n.replicas.Retain(s.Replicas)
+}
+
+func (n *Node) coordinatorChanged(home catkinspindle.Fellow) { n.coordinator.Announce(home) }
+
+// Place implements gateway.Placer.
+func (n *Node) Place(ctx context.Context, j catkinspindle.Job) catkinspindle.Placement {
+	select {
+	case <-n.joined:
+		n.budget.SetNodes(n.fleet.Size())
+		return n.coordinator.Place(ctx, j)
+	default:
+		return n.planner.Place(time.Now(), j)
+	}
+}
+
+// End implements gateway.Placer.
+func (n *Node) End(e catkinspindle.Ending) {
+	select {
+	case <-n.joined:
+		n.coordinator.End(e)
+	default:
+		n.planner.End(time.Now(), e)
+	}
+}
+
+func (n *Node) isJoined() bool {
+	select {
+	case <-n.joined:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *Node) live() []catkinspindle.Fellow {
+	if !n.isJoined() {
+		return nil
+	}
+	return n.fleet.Live()
+}
+
+func (n *Node) ready() bool {
+	return n.isJoined() && n.view.State().Table != nil && !n.fleet.Self().Leaving
+}
+
+// SetRetry replaces the allowance of repeats after a change of the settings.
+func (n *Node) SetRetry(a catkinspindle.RetryAllowance) { n.budget.SetAllowance(a) }
--- /dev/null
+++ b/gatewaynode/watch.go
@@ -0,0 +1,138 @@
+package gatewaynode
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/view"
+	"github.com/catkinspindle/catkinspindle/watch"
+)
+
+// watch follows the store until ctx ends.
+func (n *Node) watch(ctx context.Context) {
+	n.log.Info("watching the store", events.PlatformRegained.Attr())
+	var group errgroup.Group
+	for kind, sink := range map[string]watch.Sink{
+		platform.ConfigKind:   configSink{n},
+		platform.ReplicasKind: replicasSink{n},
+		platform.NodesKind:    nodesSink{n},
+	} {
+		group.Go(func() error {
+			watch.New(n.store, kind, platform.WatchWait, n.log, sink).Run(ctx)
+			return nil
+		})
+	}
+	_ = group.Wait() // The functions return no errors.
+}
+
+type configSink struct{ n *Node }
+
+// Reset implements watch.Sink.
+func (s configSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ bool) {
+	for _, o := range objects {
+		s.adopt(o)
+	}
+}
+
+// Apply implements watch.Sink.
+func (s configSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ bool) {
+	for _, c := range changes {
+		if !c.Deleted {
+			s.adopt(c.Object)
+		}
+	}
+}
+
+func (s configSink) adopt(o catkinspindle.StoredObject) {
+	if o.Name != platform.ConfigName {
+		return
+	}
+	r, err := platform.DecodeConfig(o.Spec)
+	if err != nil {
+		s.n.log.Error("configuration is unreadable", events.ConfigUnreadable.Attr(), "revision", o.Revision, "error", err)
+		return
+	}
+	if s.n.view.SetRouting(r) {
+		s.n.log.Info("configuration adopted", events.ConfigAdopted.Attr(), "version", r.Version, "revision", o.Revision, "source", "store")
+	}
+}
+
+type replicasSink struct{ n *Node }
+
+// Reset implements watch.Sink.
+func (s replicasSink) Reset(objects []catkinspindle.StoredObject, revision int64, afterOutage bool) {
+	list := map[string]catkinspindle.Replica{}
+	for _, o := range objects {
+		if r, ok := s.decode(o); ok {
+			list[r.ID] = r
+		}
+	}
+	if s.n.view.SetReplicas(list, revision, afterOutage) {
+		s.n.log.Info("replicas listed", events.ReplicaChanged.Attr(), "count", len(list), "revision", revision, "after-outage", afterOutage)
+	}
+}
+
+// Apply implements watch.Sink.
+func (s replicasSink) Apply(changes []catkinspindle.ObjectChange, revision int64, afterOutage bool) {
+	list := make([]view.Change, 0, len(changes))
+	for _, c := range changes {
+		change := view.Change{Replica: catkinspindle.Replica{ID: c.Object.Name}, Gone: c.Deleted}
+		if !c.Deleted {
+			r, ok := s.decode(c.Object)
+			change.Replica, change.Gone = r, !ok
+			change.Replica.ID = c.Object.Name
+		}
+		s.n.log.Info("replica changed", events.ReplicaChanged.Attr(), "replica", change.Replica.ID, "address", change.Replica.Address,
+			"leaving", change.Replica.Leaving, "gone", change.Gone, "revision", revision, "after-outage", afterOutage)
+		list = append(list, change)
+	}
+	s.n.view.ChangeReplicas(list, revision, afterOutage)
+}
+
+func (s replicasSink) decode(o catkinspindle.StoredObject) (catkinspindle.Replica, bool) {
+	r, err := platform.DecodeReplica(o)
+	if err != nil {
+		s.n.log.Warn("entry names no replica", events.ReplicaChanged.Attr(), "entry", o.Name, "error", err)
+		return r, false
+	}
+	return r, true
+}
+
+type nodesSink struct{ n *Node }
+
+// Reset implements watch.Sink.
+func (s nodesSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ bool) {
+	list := make([]catkinspindle.Fellow, 0, len(objects))
+	for _, o := range objects {
+		if f, ok := s.decode(o); ok {
+			list = append(list, f)
+		}
+	}
+	s.n.fleet.Learn(list)
+}
+
+// Apply implements watch.Sink.
+func (s nodesSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ bool) {
+	for _, c := range changes {
+		if c.Deleted {
+			s.n.fleet.Remove(c.Object.Name)
+			continue
+		}
+		if f, ok := s.decode(c.Object); ok {
+			s.n.fleet.LearnOne(f)
+		}
+	}
+}
+
+func (s nodesSink) decode(o catkinspindle.StoredObject) (catkinspindle.Fellow, bool) {
+	f, err := platform.DecodeNode(o)
+	if err != nil {
+		s.n.log.Warn("entry names no node", events.PeerMalformed.Attr(), "entry", o.Name, "error", err)
+		return f, false
+	}
+	return f, true
+}
--- /dev/null
+++ b/nodecommands/commands.go
@@ -0,0 +1,150 @@
+// Package nodecommands is the command line of the program that runs on each
+// entry VM of the users' platform.
+package nodecommands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/gatewaynode"
+	"github.com/catkinspindle/catkinspindle/logbook"
+	"github.com/catkinspindle/catkinspindle/platform"
+)
+
+const (
+	// reloadPoll is the interval at which the settings file is looked at: it
+	// may change without a signal.
+	reloadPoll = 2 * time.Second
+	// memoryShare is the part of the VM's memory at which the collector works
+	// harder.
+	memoryShare = 0.6
+
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+var errInput = errors.New("bad input")
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	root := &cobra.Command{
+		Use:           "catkinspindle-node",
+		Short:         "Serving layer in front of replicas, one node",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Join(errInput, err) })
+	root.AddCommand(runCommand(), checkCommand())
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err == nil {
+		return 0
+	}
+	_, _ = fmt.Fprintln(stderr, "catkinspindle-node:", err) // Nowhere else to say it.
+	if errors.Is(err, errInput) {
+		return exitBadInput
+	}
+	return exitFailed
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check-settings FILE",
+		Short: "Check a settings file of the platform",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := platform.LoadSettings(args[0]); err != nil {
+				return errors.Join(errInput, err)
+			}
+			cmd.Println(args[0] + ": good")
+			return nil
+		},
+	}
+}
+
+func runCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "run",
+		Short: "Run a node until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return run(cmd.OutOrStdout()) },
+	}
+}
+
+func run(out io.Writer) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	file, err := platform.SettingsFile()
+	if err != nil {
+		return errors.Join(errInput, err)
+	}
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return errors.Join(errInput, err)
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	lines := logbook.New(out)
+	log := lines.Logger(slog.LevelInfo)
+	ctx := context.Background()
+	if err := lines.Start(ctx); err != nil {
+		return err
+	}
+	n := gatewaynode.New(s, log)
+	if err := n.Start(ctx); err != nil {
+		return errors.Join(err, lines.Stop(ctx))
+	}
+	wait(n, file, log, stop, reload)
+	return errors.Join(n.Stop(ctx), lines.Stop(ctx))
+}
+
+// wait returns when the node is asked to stop. It reloads the settings when it
+// is told to or the file has changed.
+func wait(n *gatewaynode.Node, file string, log *slog.Logger, stop, reload <-chan os.Signal) {
+	ticker := time.NewTicker(reloadPoll)
+	defer ticker.Stop()
+	seen := changed(file)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-reload:
+		case <-ticker.C:
+			if changed(file).Equal(seen) {
+				continue
+			}
+		}
+		seen = changed(file)
+		s, err := platform.LoadSettings(file)
+		if err != nil {
+			log.Error("settings not reloaded; the old ones stay", events.NodeReloaded.Attr(), "error", err)
+			continue
+		}
+		n.SetRetry(s.Retry)
+		log.Info("settings reloaded", events.NodeReloaded.Attr(), "file", file)
+	}
+}
+
+func changed(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/objects.go
@@ -0,0 +1,55 @@
+package catkinspindle
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+)
+
+// ErrHistoryGone means that a watch cannot go on from its revision.
+var ErrHistoryGone = errors.New("history before the revision is gone")
+
+// StoredObject is an object of the platform's store.
+type StoredObject struct {
+	Name     string
+	Revision int64
+	Spec     json.RawMessage
+}
+
+// ObjectChange is a change of one object.
+type ObjectChange struct {
+	Object  StoredObject
+	Deleted bool
+}
+
+// ObjectStore is the platform's store of versioned objects.
+type ObjectStore interface {
+	// List returns all objects of a kind and the revision to watch from.
+	List(ctx context.Context, kind string) ([]StoredObject, int64, error)
+	// Changes waits for changes after a revision and returns them with the
+	// revision to go on from. It returns ErrHistoryGone when the objects must
+	// be listed again.
+	Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]ObjectChange, int64, error)
+	// Create creates an object. When one exists it returns that one.
+	Create(ctx context.Context, kind, name string, spec any) (StoredObject, error)
+	// Write creates or replaces an object and returns its revision.
+	Write(ctx context.Context, kind, name string, spec any) (int64, error)
+	// Remove deletes an object; one that does not exist is no error.
+	Remove(ctx context.Context, kind, name string) error
+}
+
+// Fellow is a node of the system as the others see it.
+type Fellow struct {
+	Name        string `json:"name" cbor:"1,keyasint"`
+	Incarnation int64  `json:"incarnation" cbor:"2,keyasint"`
+	// PeerAddress is where other nodes reach it.
+	PeerAddress string `json:"peer-address" cbor:"3,keyasint"`
+	// CallersAddress is what address answers name.
+	CallersAddress string `json:"callers-address" cbor:"4,keyasint"`
+	DataCentre     string `json:"data-centre" cbor:"5,keyasint"`
+	// Rank is the store's revision at registration; the lowest live rank
+	// coordinates. Zero means that the node is not registered.
+	Rank    int64 `json:"-" cbor:"6,keyasint"`
+	Leaving bool  `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
+}
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -25,8 +25,10 @@
 // ServerName is the name in the certificates of nodes.
 const ServerName = "catkinspindle-peer"
 
+// Protocol is the application protocol of the TLS handshake.
+const Protocol = "catkinspindle/1"
+
 const (
-	protocol = "catkinspindle/1"
 	// maxMessage bounds a message in bytes.
 	maxMessage = 2 << 20
 	// maxIdle closes a connection to a peer that is silent.
@@ -79,21 +81,26 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, fmt.Errorf("keys %s: no certificate", authority)
 	}
+	return NewWithTLS(listen, &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   ServerName,
+		NextProtos:   []string{Protocol},
+		MinVersion:   tls.VersionTLS13,
+	}, log), nil
+}
+
+// NewWithTLS returns a transport that trusts peers as config says.
+func NewWithTLS(listen string, config *tls.Config, log *slog.Logger) *Transport {
 	return &Transport{
-		listen: listen,
-		log:    log,
-		tls: &tls.Config{
-			Certificates: []tls.Certificate{cert},
-			RootCAs:      pool,
-			ClientCAs:    pool,
-			ClientAuth:   tls.RequireAndVerifyClientCert,
-			ServerName:   ServerName,
-			NextProtos:   []string{protocol},
-			MinVersion:   tls.VersionTLS13,
-		},
+		listen:   listen,
+		log:      log,
+		tls:      config,
 		handlers: map[string]catkinspindle.PeerHandler{},
 		conns:    map[string]*quic.Conn{},
-	}, nil
+	}
 }
 
 // Handle implements catkinspindle.Peers.
--- /dev/null
+++ b/placement.go
@@ -0,0 +1,86 @@
+package catkinspindle
+
+import "time"
+
+// Job is a request that needs a replica.
+type Job struct {
+	// ID is unique among all attempts.
+	ID      string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	// Prompt and Answer are token counts; Answer is an estimate.
+	Prompt int `cbor:"3,keyasint"`
+	Answer int `cbor:"4,keyasint"`
+	// Left is the time until the caller's deadline.
+	Left time.Duration `cbor:"5,keyasint"`
+	// Aim is the time left until the latency objective; negative when missed.
+	Aim time.Duration `cbor:"6,keyasint"`
+	// MaxPause is the longest pause between events that is still on time.
+	MaxPause time.Duration `cbor:"7,keyasint"`
+	Priority int           `cbor:"8,keyasint"`
+	// Avoid lists replicas that have failed this request.
+	Avoid []string `cbor:"9,keyasint,omitempty"`
+	// Again is true when an earlier attempt was sent to a replica.
+	Again bool `cbor:"10,keyasint,omitempty"`
+	// DataCentre is where the request entered.
+	DataCentre string `cbor:"11,keyasint"`
+}
+
+// Placement names the replica of a job and those that help to read its prompt.
+type Placement struct {
+	Job     string `cbor:"1,keyasint"`
+	Replica string `cbor:"2,keyasint"`
+	// Helpers are IDs of replicas.
+	Helpers []string `cbor:"3,keyasint,omitempty"`
+	// First is the estimated time to the first event.
+	First time.Duration `cbor:"4,keyasint"`
+	// Urgency orders requests that wait at the replica; 0 is first.
+	Urgency int `cbor:"5,keyasint"`
+	// RetryAfter is set instead of a replica when the job is refused.
+	RetryAfter time.Duration `cbor:"6,keyasint"`
+	// Reason says why the job was refused.
+	Reason Reason `cbor:"7,keyasint,omitempty"`
+}
+
+// Refused reports whether the job was not placed.
+func (p Placement) Refused() bool { return p.Replica == "" }
+
+// Outcome is how an attempt at a replica ended.
+type Outcome int
+
+// The outcomes of attempts.
+const (
+	// OutcomeDone is a whole answer.
+	OutcomeDone Outcome = iota
+	// OutcomeGivenUp means that the caller left or the time ran out.
+	OutcomeGivenUp
+	// OutcomeRefused means that the replica did not execute the request.
+	OutcomeRefused
+	// OutcomeUnreachable means that no connection could be made.
+	OutcomeUnreachable
+	// OutcomeFailed is an error answer, a broken or a silent stream.
+	OutcomeFailed
+)
+
+var outcomeNames = [...]string{"done", "given-up", "refused", "unreachable", "failed"}
+
+// String returns the name that logs use.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Ending reports the end of an attempt to the placer.
+type Ending struct {
+	Job     string  `cbor:"1,keyasint"`
+	Replica string  `cbor:"2,keyasint"`
+	Outcome Outcome `cbor:"3,keyasint"`
+	// First is the time to the first event; zero when none came.
+	First time.Duration `cbor:"4,keyasint,omitempty"`
+	// Total is the time that the attempt took.
+	Total time.Duration `cbor:"5,keyasint,omitempty"`
+	// Culprit is the replica that the failure names, when it is another one.
+	Culprit string `cbor:"6,keyasint,omitempty"`
+}
+
+// Placer decides which replica serves a job.
+type Placer interface {
+	Place(now time.Time, j Job) Placement
+	End(now time.Time, e Ending)
+}
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,260 @@
+// Package placement decides which replica serves a job, which replicas help to
+// read its prompt, and which jobs are refused. It knows no network: callers
+// pass the time, the replicas and how attempts ended.
+//
+// The load that it answers: short prompts whose answers must not pause beside
+// long prompts that each need seconds of reading. Short ones are packed onto
+// few replicas, long ones are read in parts by all the others.
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+// Planner keeps the ledger of all replicas that it places on. It implements
+// catkinspindle.Placer.
+type Planner struct {
+	policy Policy
+
+	mu       sync.Mutex
+	rand     *rand.Rand
+	services map[string]*catkinspindle.EngineModel
+	replicas map[string]*replica
+	order    []*replica
+	jobs     map[string]*open
+}
+
+// open is a job that has been placed and has not ended.
+type open struct {
+	job     catkinspindle.Job
+	replica *replica
+	helpers []*replica
+	placed  time.Time
+	first   time.Duration
+	// part is the reading that the job adds to each replica that reads.
+	part time.Duration
+}
+
+// Option changes a planner.
+type Option func(*Planner)
+
+// WithPolicy replaces the default policy.
+func WithPolicy(p Policy) Option { return func(l *Planner) { l.policy = p } }
+
+// WithSeed makes choices among equals repeatable.
+func WithSeed(seed uint64) Option {
+	return func(l *Planner) { l.rand = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a planner that knows no replicas.
+func New(opts ...Option) *Planner {
+	p := &Planner{
+		policy:   DefaultPolicy(),
+		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		services: map[string]*catkinspindle.EngineModel{},
+		replicas: map[string]*replica{},
+		jobs:     map[string]*open{},
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// SetServices replaces the services and their engine models.
+func (p *Planner) SetServices(list []catkinspindle.ReplicaService) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.services = map[string]*catkinspindle.EngineModel{}
+	for _, s := range list {
+		p.services[s.Name] = s.Engine
+	}
+}
+
+// SetReplicas replaces the replicas. One that keeps its incarnation keeps its
+// ledger.
+func (p *Planner) SetReplicas(list map[string]catkinspindle.Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*replica, len(list))
+	p.order = p.order[:0]
+	for id, r := range list {
+		known, ok := p.replicas[id]
+		if !ok || !known.Same(r) {
+			known = newReplica(r)
+		}
+		known.Replica = r
+		next[id] = known
+		p.order = append(p.order, known)
+	}
+	p.replicas = next
+	slices.SortFunc(p.order, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Place implements catkinspindle.Placer.
+func (p *Planner) Place(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := p.usable(now, j)
+	if len(usable) == 0 {
+		return refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry)
+	}
+	model := p.services[j.Service]
+	if model == nil || j.Prompt == 0 {
+		return p.placePlain(now, j, usable)
+	}
+	return p.placePrompt(now, j, *model, usable)
+}
+
+func refuse(j catkinspindle.Job, reason catkinspindle.Reason, after time.Duration) catkinspindle.Placement {
+	return catkinspindle.Placement{Job: j.ID, Reason: reason, RetryAfter: after}
+}
+
+// usable returns the replicas that may take j: those of its service that are
+// not leaving and not suspected, or the suspected ones when there are no
+// others.
+func (p *Planner) usable(now time.Time, j catkinspindle.Job) []*replica {
+	var good, suspected []*replica
+	for _, r := range p.order {
+		if r.Service != j.Service || r.Leaving || slices.Contains(j.Avoid, r.ID) {
+			continue
+		}
+		if r.health.usable(now, len(r.jobs)) {
+			good = append(good, r)
+		} else {
+			suspected = append(suspected, r)
+		}
+	}
+	if len(good) == 0 {
+		return suspected
+	}
+	return good
+}
+
+// placePlain chooses the replica with the fewest requests in flight.
+func (p *Planner) placePlain(now time.Time, j catkinspindle.Job, usable []*replica) catkinspindle.Placement {
+	best := p.least(usable, func(r *replica) float64 {
+		c := float64(len(r.jobs)) * r.pace
+		if r.DataCentre != j.DataCentre {
+			c += p.policy.OtherDataCentre
+		}
+		return c
+	})
+	wait := time.Duration(float64(len(best.jobs)) / float64(max(1, best.Slots)) * float64(best.usual))
+	if best.usual > 0 && wait > j.Left {
+		return refuse(j, catkinspindle.ReasonOverload, wait-j.Left+best.usual)
+	}
+	return p.commit(now, &open{job: j, replica: best, placed: now, first: wait + best.usual}, 0)
+}
+
+// least returns the replica with the least cost, one at random among equals.
+func (p *Planner) least(list []*replica, cost func(*replica) float64) *replica {
+	var best *replica
+	least, equal := 0.0, 0
+	for _, r := range list {
+		c := cost(r)
+		switch {
+		case best == nil || c < least:
+			best, least, equal = r, c, 1
+		case c == least:
+			equal++
+			if p.rand.IntN(equal) == 0 {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+func (p *Planner) commit(now time.Time, o *open, urgency int) catkinspindle.Placement {
+	p.jobs[o.job.ID] = o
+	o.replica.add(o)
+	o.replica.read(now, o.part)
+	ids := make([]string, len(o.helpers))
+	for i, h := range o.helpers {
+		h.read(now, o.part)
+		ids[i] = h.ID
+	}
+	return catkinspindle.Placement{Job: o.job.ID, Replica: o.replica.ID, Helpers: ids, First: o.first, Urgency: urgency}
+}
+
+// End implements catkinspindle.Placer.
+func (p *Planner) End(now time.Time, e catkinspindle.Ending) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o, ok := p.jobs[e.Job]
+	if ok {
+		delete(p.jobs, e.Job)
+		o.replica.remove(o)
+	}
+	if culprit, found := p.replicas[e.Culprit]; found && e.Culprit != e.Replica {
+		culprit.health.fail(now)
+		return
+	}
+	r, found := p.replicas[e.Replica]
+	if !found {
+		return
+	}
+	r.observe(now, e, o)
+}
+
+// Adopt enters a job that another planner has placed some time ago.
+func (p *Planner) Adopt(now time.Time, j catkinspindle.Job, placed catkinspindle.Placement, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.replicas[placed.Replica]
+	if !ok || p.jobs[j.ID] != nil {
+		return
+	}
+	o := &open{job: j, replica: r, placed: now.Add(-age), first: placed.First}
+	if model := p.services[j.Service]; model != nil && age < placed.First {
+		o.part = readTime(*model, j.Prompt) / time.Duration(len(placed.Helpers)+1)
+		for _, id := range placed.Helpers {
+			if h, ok := p.replicas[id]; ok {
+				o.helpers = append(o.helpers, h)
+			}
+		}
+	}
+	p.commit(now, o, 0)
+}
+
+// Forget drops the jobs whose IDs begin with prefix: their node is gone and
+// its connections with it.
+func (p *Planner) Forget(prefix string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, o := range p.jobs {
+		if strings.HasPrefix(id, prefix) {
+			delete(p.jobs, id)
+			o.replica.remove(o)
+		}
+	}
+}
+
+// Load is what the planner knows of a replica, for the dump and logs.
+type Load struct {
+	Replica string
+	Jobs    int
+	// Backlog is the estimated reading ahead.
+	Backlog   time.Duration
+	Suspected bool
+	Pace      float64
+}
+
+// Loads returns the load of every replica, ordered by ID.
+func (p *Planner) Loads(now time.Time) []Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Load, 0, len(p.order))
+	for _, r := range p.order {
+		list = append(list, Load{Replica: r.ID, Jobs: len(r.jobs), Backlog: r.backlog(now), Suspected: !r.health.usable(now, 0), Pace: r.pace})
+	}
+	return list
+}
--- /dev/null
+++ b/placement/replica.go
@@ -0,0 +1,118 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+const (
+	// paceWeight is the weight of a new measurement of a replica's pace.
+	paceWeight = 0.2
+	// maxPace bounds the measured pace, so that a replica that was slow is
+	// tried again.
+	maxPace = 8
+	// usualWeight is the weight of a new measurement of a plain answer's time.
+	usualWeight = 0.1
+)
+
+// replica is the ledger of one incarnation.
+type replica struct {
+	catkinspindle.Replica
+	jobs map[string]*open
+	// busy is when the reading that is known will have ended.
+	busy time.Time
+	// tokens is the memory that open jobs will need.
+	tokens int
+	// pace is the measured time of answers against the estimate.
+	pace float64
+	// usual is the mean time of a plain answer.
+	usual  time.Duration
+	health health
+}
+
+func newReplica(r catkinspindle.Replica) *replica {
+	return &replica{Replica: r, jobs: map[string]*open{}, pace: 1}
+}
+
+func (r *replica) add(o *open) {
+	r.jobs[o.job.ID] = o
+	r.tokens += o.job.Prompt + o.job.Answer
+}
+
+func (r *replica) remove(o *open) {
+	if _, ok := r.jobs[o.job.ID]; !ok {
+		return
+	}
+	delete(r.jobs, o.job.ID)
+	r.tokens -= o.job.Prompt + o.job.Answer
+}
+
+func (r *replica) backlog(now time.Time) time.Duration { return max(0, r.busy.Sub(now)) }
+
+func (r *replica) read(now time.Time, part time.Duration) {
+	if part <= 0 {
+		return
+	}
+	if r.busy.Before(now) {
+		r.busy = now
+	}
+	r.busy = r.busy.Add(time.Duration(float64(part) * r.pace))
+}
+
+// short counts the jobs that a long read must not disturb.
+func (r *replica) short(limit time.Duration) int {
+	n := 0
+	for _, o := range r.jobs {
+		if o.job.MaxPause <= limit {
+			n++
+		}
+	}
+	return n
+}
+
+// pause returns the shortest of the longest pauses that open jobs allow.
+func (r *replica) pause() time.Duration {
+	least := time.Duration(0)
+	for _, o := range r.jobs {
+		if least == 0 || o.job.MaxPause < least {
+			least = o.job.MaxPause
+		}
+	}
+	return least
+}
+
+// observe learns from the end of an attempt; o is nil when the planner did not
+// place it.
+func (r *replica) observe(now time.Time, e catkinspindle.Ending, o *open) {
+	switch e.Outcome {
+	case catkinspindle.OutcomeDone:
+		r.health.succeed()
+		r.measure(e, o)
+	case catkinspindle.OutcomeGivenUp:
+	case catkinspindle.OutcomeRefused:
+		r.health.refuse(now)
+	case catkinspindle.OutcomeUnreachable:
+		r.health.unreachable(now)
+	case catkinspindle.OutcomeFailed:
+		r.health.fail(now)
+	}
+}
+
+func (r *replica) measure(e catkinspindle.Ending, o *open) {
+	if o == nil || e.Total <= 0 {
+		return
+	}
+	if o.job.Prompt == 0 {
+		if r.usual == 0 {
+			r.usual = e.Total
+		}
+		r.usual += time.Duration(usualWeight * float64(e.Total-r.usual))
+		return
+	}
+	if o.first <= 0 || e.First <= 0 {
+		return
+	}
+	seen := min(maxPace, max(1, float64(e.First)/float64(o.first)))
+	r.pace += paceWeight * (seen - r.pace)
+}
--- /dev/null
+++ b/replicas/pool.go
@@ -0,0 +1,192 @@
+package replicas
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+const (
+	// dialTimeout bounds a new connection; a replica answers within
+	// milliseconds, so that a silent one is noticed and another one tried.
+	dialTimeout = 300 * time.Millisecond
+	// probeIdle, probeInterval and probeCount make up the keep-alive that
+	// notices a connection that has gone silent.
+	probeIdle     = 2 * time.Second
+	probeInterval = time.Second
+	probeCount    = 3
+	// defaultLifetime is how long an idle connection is kept when the replica
+	// does not say how long it keeps it.
+	defaultLifetime = 4 * time.Second
+	// lifetimeMargin is the part of the replica's own limit that is used, so
+	// that no request crosses the replica's close.
+	lifetimeMargin = 0.7
+	// defaultIdle bounds the idle connections to one replica.
+	defaultIdle = 8
+
+	// maxHead bounds the head of an answer in bytes.
+	maxHead = 64 << 10
+	noLimit = math.MaxInt
+)
+
+type conn struct {
+	net     net.Conn
+	reader  *bufio.Reader
+	left    int
+	replica catkinspindle.Replica
+	until   time.Time
+	once    sync.Once
+}
+
+// Read implements io.Reader under the limit that allow has set.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errors.New("head of the answer is too large")
+	}
+	if len(p) > c.left {
+		p = p[:c.left]
+	}
+	n, err := c.net.Read(p)
+	if c.left != noLimit {
+		c.left -= n
+	}
+	return n, err
+}
+
+func (c *conn) allow(n int) { c.left = n }
+
+func (c *conn) close() {
+	c.once.Do(func() { _ = c.net.Close() }) // Nothing can be done about it.
+}
+
+// clean reports whether nothing has arrived on an idle connection.
+func (c *conn) clean() bool {
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		clean = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
+
+var _ io.Reader = (*conn)(nil)
+
+type pool struct {
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	max  int
+}
+
+func newPool() *pool {
+	return &pool{
+		dialer: net.Dialer{
+			Timeout:         dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		},
+		idle: map[string][]*conn{},
+		max:  defaultIdle,
+	}
+}
+
+// take returns an idle connection to the incarnation r, or nil.
+func (p *pool) take(r catkinspindle.Replica, fresh bool) *conn {
+	if fresh {
+		return nil
+	}
+	for {
+		c := p.pop(r)
+		if c == nil {
+			return nil
+		}
+		if c.replica.Same(r) && time.Now().Before(c.until) && c.clean() {
+			return c
+		}
+		c.close()
+	}
+}
+
+func (p *pool) pop(r catkinspindle.Replica) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[r.ID]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[r.ID] = list[:len(list)-1]
+	return c
+}
+
+func (p *pool) dial(ctx context.Context, r catkinspindle.Replica) (*conn, error) {
+	n, err := p.dialer.DialContext(ctx, "tcp", r.Address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{net: n, replica: r, left: noLimit}
+	c.reader = bufio.NewReaderSize(c, 4<<10)
+	return c, nil
+}
+
+func (p *pool) put(c *conn, lifetime time.Duration) {
+	if lifetime <= 0 {
+		lifetime = defaultLifetime
+	}
+	c.until = time.Now().Add(time.Duration(lifetimeMargin * float64(lifetime)))
+	p.mu.Lock()
+	list := p.idle[c.replica.ID]
+	full := len(list) >= p.max
+	if !full {
+		p.idle[c.replica.ID] = append(list, c)
+	}
+	p.mu.Unlock()
+	if full {
+		c.close()
+	}
+}
+
+func (p *pool) retain(replicas map[string]catkinspindle.Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, list := range p.idle {
+		r, ok := replicas[id]
+		kept := list[:0]
+		for _, c := range list {
+			if ok && c.replica.Same(r) && !r.Leaving {
+				kept = append(kept, c)
+				continue
+			}
+			c.close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, id)
+			continue
+		}
+		p.idle[id] = kept
+	}
+}
+
+func (p *pool) setIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.max = max(1, n)
+}
--- /dev/null
+++ b/routes/table.go
@@ -0,0 +1,97 @@
+// Package routes finds the route of a request and the workspace of a key.
+package routes
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+// Table is the index of one version of the routing configuration.
+type Table struct {
+	routing  catkinspindle.Routing
+	hosts    map[string][]catkinspindle.Route
+	services map[string]catkinspindle.ReplicaService
+	keys     map[string]catkinspindle.KeyHolder
+}
+
+// New indexes r.
+func New(r catkinspindle.Routing) *Table {
+	t := &Table{
+		routing:  r,
+		hosts:    map[string][]catkinspindle.Route{},
+		services: map[string]catkinspindle.ReplicaService{},
+		keys:     map[string]catkinspindle.KeyHolder{},
+	}
+	for _, route := range r.Routes {
+		t.hosts[route.Host] = append(t.hosts[route.Host], route)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b catkinspindle.Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	for _, s := range r.Services {
+		t.services[s.Name] = s
+	}
+	for _, h := range r.KeyHolders {
+		for _, k := range h.Keys {
+			t.keys[k] = h
+		}
+	}
+	return t
+}
+
+// Routing returns what the table was made of.
+func (t *Table) Routing() catkinspindle.Routing { return t.routing }
+
+// Find returns the route with the longest prefix of path at host.
+func (t *Table) Find(host, path string) (catkinspindle.Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return catkinspindle.Route{}, false
+}
+
+// Service returns the service called name.
+func (t *Table) Service(name string) (catkinspindle.ReplicaService, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Holder returns the workspace that holds key.
+func (t *Table) Holder(key string) (catkinspindle.KeyHolder, bool) {
+	h, ok := t.keys[key]
+	return h, ok
+}
+
+// NeedsKey reports whether requests on r carry a key.
+func (t *Table) NeedsKey(r catkinspindle.Route) bool {
+	return t.routing.KeyHolders != nil && !r.Public
+}
+
+// Target chooses a service of r by weight; point is in [0, 1).
+func Target(r catkinspindle.Route, point float64) string {
+	sum := 0
+	for _, t := range r.Targets {
+		sum += max(0, t.Weight)
+	}
+	at := int(point * float64(sum))
+	for _, t := range r.Targets {
+		if at -= max(0, t.Weight); at < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[0].Service
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,151 @@
+// Package view holds what a node knows of the routing configuration and the
+// replicas. The newest word wins, whichever source brings it: the store or
+// another node. Nothing goes back within the life of a process.
+package view
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/routes"
+)
+
+// returnTime is how long after an outage of the store a replica whose entry is
+// missing stays known: entries that lapsed meanwhile are written again within
+// that time when the replica lives.
+const returnTime = 2200 * time.Millisecond
+
+// State is an immutable state of the view.
+type State struct {
+	// Table is nil until a configuration is known.
+	Table *routes.Table
+	// Replicas are the known replicas by ID, as of ReplicasRevision.
+	Replicas         map[string]catkinspindle.Replica
+	ReplicasRevision int64
+}
+
+// Version returns the version of the configuration; zero means none.
+func (s *State) Version() int64 {
+	if s.Table == nil {
+		return 0
+	}
+	return s.Table.Routing().Version
+}
+
+// View is the newest state.
+type View struct {
+	mu      sync.Mutex
+	state   atomic.Pointer[State]
+	changed func(*State)
+	missing map[string]time.Time
+}
+
+// New returns an empty view that calls changed after each change.
+func New(changed func(*State)) *View {
+	v := &View{changed: changed, missing: map[string]time.Time{}}
+	v.state.Store(&State{Replicas: map[string]catkinspindle.Replica{}})
+	return v
+}
+
+// State returns the newest state.
+func (v *View) State() *State { return v.state.Load() }
+
+// SetRouting adopts r if its version is higher than the known one.
+func (v *View) SetRouting(r catkinspindle.Routing) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := *v.state.Load()
+	if r.Version <= s.Version() {
+		return false
+	}
+	s.Table = routes.New(r)
+	v.publish(&s)
+	return true
+}
+
+// SetReplicas replaces the replicas as of a revision of the store. Older
+// revisions are ignored. After an outage of the store missing replicas are
+// kept for the time in which their entries may come back.
+func (v *View) SetReplicas(list map[string]catkinspindle.Replica, revision int64, afterOutage bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := *v.state.Load()
+	if revision <= s.ReplicasRevision {
+		return false
+	}
+	next := maps.Clone(list)
+	if afterOutage {
+		for id, r := range s.Replicas {
+			if _, ok := next[id]; !ok && !r.Leaving {
+				next[id] = r
+				v.missing[id] = time.Now().Add(returnTime)
+			}
+		}
+	}
+	s.Replicas, s.ReplicasRevision = next, revision
+	v.publish(&s)
+	return true
+}
+
+// Change is a change of one replica.
+type Change struct {
+	Replica catkinspindle.Replica
+	Gone    bool
+}
+
+// ChangeReplicas applies changes up to a revision.
+func (v *View) ChangeReplicas(changes []Change, revision int64, afterOutage bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := *v.state.Load()
+	if revision <= s.ReplicasRevision {
+		return
+	}
+	next := maps.Clone(s.Replicas)
+	for _, c := range changes {
+		known, ok := next[c.Replica.ID]
+		switch {
+		case !c.Gone:
+			next[c.Replica.ID] = c.Replica
+			delete(v.missing, c.Replica.ID)
+		case ok && afterOutage && !known.Leaving:
+			v.missing[c.Replica.ID] = time.Now().Add(returnTime)
+		default:
+			delete(next, c.Replica.ID)
+		}
+	}
+	s.Replicas, s.ReplicasRevision = next, revision
+	v.publish(&s)
+}
+
+// Expire drops the replicas whose entries have not come back.
+func (v *View) Expire(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var next map[string]catkinspindle.Replica
+	s := *v.state.Load()
+	for id, until := range v.missing {
+		if now.Before(until) {
+			continue
+		}
+		delete(v.missing, id)
+		if next == nil {
+			next = maps.Clone(s.Replicas)
+		}
+		delete(next, id)
+	}
+	if next != nil {
+		s.Replicas = next
+		v.publish(&s)
+	}
+}
+
+func (v *View) publish(s *State) {
+	v.state.Store(s)
+	if v.changed != nil {
+		v.changed(s)
+	}
+}
--- /dev/null
+++ b/watch/follower.go
@@ -0,0 +1,105 @@
+// Package watch follows the objects of a kind in the platform's store.
+package watch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
+)
+
+const (
+	// firstRetry and maxRetry bound the pause after a failed call; it doubles.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 800 * time.Millisecond
+	// outageTail is how long after a failure the store counts as just back.
+	outageTail = 2500 * time.Millisecond
+	// outageLength is the absence after which entries may have lapsed.
+	outageLength = 900 * time.Millisecond
+)
+
+// Follower keeps a copy of the objects of one kind up to date.
+type Follower struct {
+	store catkinspindle.ObjectStore
+	kind  string
+	wait  time.Duration
+	log   *slog.Logger
+	sink  Sink
+}
+
+// Sink receives what a follower learns. afterOutage is true shortly after the
+// store was away, when entries may be missing that come back.
+type Sink interface {
+	Reset(objects []catkinspindle.StoredObject, revision int64, afterOutage bool)
+	Apply(changes []catkinspindle.ObjectChange, revision int64, afterOutage bool)
+}
+
+// New returns a follower of kind whose calls wait so long for changes.
+func New(store catkinspindle.ObjectStore, kind string, wait time.Duration, log *slog.Logger, sink Sink) *Follower {
+	return &Follower{store: store, kind: kind, wait: wait, log: log, sink: sink}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var (
+		revision  int64
+		listed    bool
+		downSince time.Time
+		backAt    time.Time
+		pause     = firstRetry
+	)
+	for ctx.Err() == nil {
+		var err error
+		afterOutage := !backAt.IsZero() && time.Since(backAt) < outageTail
+		if !listed {
+			var objects []catkinspindle.StoredObject
+			objects, revision, err = f.store.List(ctx, f.kind)
+			if err == nil {
+				listed = true
+				if !downSince.IsZero() && time.Since(downSince) > outageLength {
+					backAt, afterOutage = time.Now(), true
+				}
+				f.sink.Reset(objects, revision, afterOutage)
+			}
+		} else {
+			var changes []catkinspindle.ObjectChange
+			var next int64
+			changes, next, err = f.store.Changes(ctx, f.kind, revision, f.wait)
+			if err == nil {
+				revision = next
+				if len(changes) > 0 {
+					f.sink.Apply(changes, revision, afterOutage)
+				}
+			}
+		}
+		if err == nil {
+			if !downSince.IsZero() {
+				f.log.Info("store regained", events.PlatformRegained.Attr(), "kind", f.kind, "away", time.Since(downSince), "revision", revision)
+			}
+			downSince, pause = time.Time{}, firstRetry
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, catkinspindle.ErrHistoryGone) {
+			listed = false
+			continue
+		}
+		if downSince.IsZero() {
+			downSince = time.Now()
+			f.log.Warn("store lost", events.PlatformFailed.Attr(), "kind", f.kind, "revision", revision, "error", err)
+		}
+		// A watch that was cut may have missed nothing, but listing again also
+		// shows entries that went while the store was away.
+		listed = listed && time.Since(downSince) < outageLength
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(maxRetry, 2*pause)
+	}
+}
