Ask a watch again within the bound of a configuration

Ruled out: a lost change on our side; the trace shows the watch from revision 36 answering 410 only at 13.47 s.

--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -16,13 +16,13 @@
 func (n *Node) watch(ctx context.Context) {
 	n.log.Info("watching the store", events.PlatformRegained.Attr())
 	var group errgroup.Group
-	for kind, sink := range map[string]watch.Sink{
-		platform.ConfigKind:   configSink{n},
-		platform.ReplicasKind: replicasSink{n},
-		platform.NodesKind:    nodesSink{n},
+	for _, f := range []*watch.Follower{
+		watch.New(n.store, platform.ConfigKind, platform.WatchWait, n.log, configSink{n}),
+		watch.New(n.store, platform.ReplicasKind, platform.WatchWait, n.log, replicasSink{n}),
+		watch.New(n.store, platform.NodesKind, platform.NodesWatchWait, n.log, nodesSink{n}),
 	} {
 		group.Go(func() error {
-			watch.New(n.store, kind, platform.WatchWait, n.log, sink).Run(ctx)
+			f.Run(ctx)
 			return nil
 		})
 	}
