Keep missing replicas only for the time after the store's return

Ruled out: late news; three nodes logged the removal 100 ms after the acknowledgement, two of them as after an outage. Change: the time counts from the store's return, not from the removal.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -371,7 +371,7 @@
 		f.log.Info("configuration adopted", events.ConfigAdopted.Attr(), "version", a.Routing.Version, "source", a.From.Name)
 	}
 	if a.Replicas != nil {
-		f.view.SetReplicas(a.Replicas, a.ReplicasRevision, false)
+		f.view.SetReplicas(a.Replicas, a.ReplicasRevision, time.Time{})
 	}
 }
 
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -32,14 +33,14 @@
 type configSink struct{ n *Node }
 
 // Reset implements watch.Sink.
-func (s configSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ bool) {
+func (s configSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ time.Time) {
 	for _, o := range objects {
 		s.adopt(o)
 	}
 }
 
 // Apply implements watch.Sink.
-func (s configSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ bool) {
+func (s configSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ time.Time) {
 	for _, c := range changes {
 		if !c.Deleted {
 			s.adopt(c.Object)
@@ -64,20 +65,20 @@
 type replicasSink struct{ n *Node }
 
 // Reset implements watch.Sink.
-func (s replicasSink) Reset(objects []catkinspindle.StoredObject, revision int64, afterOutage bool) {
+func (s replicasSink) Reset(objects []catkinspindle.StoredObject, revision int64, mayReturn time.Time) {
 	list := map[string]catkinspindle.Replica{}
 	for _, o := range objects {
 		if r, ok := s.decode(o); ok {
 			list[r.ID] = r
 		}
 	}
-	if s.n.view.SetReplicas(list, revision, afterOutage) {
-		s.n.log.Info("replicas listed", events.ReplicaChanged.Attr(), "count", len(list), "revision", revision, "after-outage", afterOutage)
+	if s.n.view.SetReplicas(list, revision, mayReturn) {
+		s.n.log.Info("replicas listed", events.ReplicaChanged.Attr(), "count", len(list), "revision", revision, "after-outage", !mayReturn.IsZero())
 	}
 }
 
 // Apply implements watch.Sink.
-func (s replicasSink) Apply(changes []catkinspindle.ObjectChange, revision int64, afterOutage bool) {
+func (s replicasSink) Apply(changes []catkinspindle.ObjectChange, revision int64, mayReturn time.Time) {
 	list := make([]view.Change, 0, len(changes))
 	for _, c := range changes {
 		change := view.Change{Replica: catkinspindle.Replica{ID: c.Object.Name}, Gone: c.Deleted}
@@ -87,10 +88,10 @@
 			change.Replica.ID = c.Object.Name
 		}
 		s.n.log.Info("replica changed", events.ReplicaChanged.Attr(), "replica", change.Replica.ID, "address", change.Replica.Address,
-			"leaving", change.Replica.Leaving, "gone", change.Gone, "revision", revision, "after-outage", afterOutage)
+			"leaving", change.Replica.Leaving, "gone", change.Gone, "revision", revision, "after-outage", !mayReturn.IsZero())
 		list = append(list, change)
 	}
-	s.n.view.ChangeReplicas(list, revision, afterOutage)
+	s.n.view.ChangeReplicas(list, revision, mayReturn)
 }
 
 func (s replicasSink) decode(o catkinspindle.StoredObject) (catkinspindle.Replica, bool) {
@@ -105,7 +106,7 @@
 type nodesSink struct{ n *Node }
 
 // Reset implements watch.Sink.
-func (s nodesSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ bool) {
+func (s nodesSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ time.Time) {
 	list := make([]catkinspindle.Fellow, 0, len(objects))
 	for _, o := range objects {
 		if f, ok := s.decode(o); ok {
@@ -116,7 +117,7 @@
 }
 
 // Apply implements watch.Sink.
-func (s nodesSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ bool) {
+func (s nodesSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ time.Time) {
 	for _, c := range changes {
 		if c.Deleted {
 			s.n.fleet.Remove(c.Object.Name)
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -219,4 +219,3 @@
 	conn.close()
 	return nil
 }
-
--- a/view/view.go
+++ b/view/view.go
@@ -13,11 +13,6 @@
 	"github.com/catkinspindle/catkinspindle/routes"
 )
 
-// returnTime is how long after an outage of the store a replica whose entry is
-// missing stays known: entries that lapsed meanwhile are written again within
-// that time when the replica lives.
-const returnTime = 2200 * time.Millisecond
-
 // State is an immutable state of the view.
 type State struct {
 	// Table is nil until a configuration is known.
@@ -68,8 +63,9 @@
 
 // SetReplicas replaces the replicas as of a revision of the store. Older
 // revisions are ignored. After an outage of the store missing replicas are
-// kept for the time in which their entries may come back.
-func (v *View) SetReplicas(list map[string]catkinspindle.Replica, revision int64, afterOutage bool) bool {
+// kept until mayReturn, because their entries may come back; otherwise it is
+// zero.
+func (v *View) SetReplicas(list map[string]catkinspindle.Replica, revision int64, mayReturn time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := *v.state.Load()
@@ -77,11 +73,11 @@
 		return false
 	}
 	next := maps.Clone(list)
-	if afterOutage {
+	if !mayReturn.IsZero() {
 		for id, r := range s.Replicas {
 			if _, ok := next[id]; !ok && !r.Leaving {
 				next[id] = r
-				v.missing[id] = time.Now().Add(returnTime)
+				v.missing[id] = mayReturn
 			}
 		}
 	}
@@ -97,7 +93,7 @@
 }
 
 // ChangeReplicas applies changes up to a revision.
-func (v *View) ChangeReplicas(changes []Change, revision int64, afterOutage bool) {
+func (v *View) ChangeReplicas(changes []Change, revision int64, mayReturn time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := *v.state.Load()
@@ -111,8 +107,8 @@
 		case !c.Gone:
 			next[c.Replica.ID] = c.Replica
 			delete(v.missing, c.Replica.ID)
-		case ok && afterOutage && !known.Leaving:
-			v.missing[c.Replica.ID] = time.Now().Add(returnTime)
+		case ok && !mayReturn.IsZero() && !known.Leaving:
+			v.missing[c.Replica.ID] = mayReturn
 		default:
 			delete(next, c.Replica.ID)
 		}
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -14,9 +14,10 @@
 const (
 	// firstRetry and maxRetry bound the pause after a failed call; it doubles.
 	firstRetry = 100 * time.Millisecond
-	maxRetry   = 800 * time.Millisecond
-	// outageTail is how long after a failure the store counts as just back.
-	outageTail = 2500 * time.Millisecond
+	maxRetry   = 500 * time.Millisecond
+	// returnTime is how long after the store's return entries that lapsed
+	// meanwhile may still be missing.
+	returnTime = 2 * time.Second
 	// outageLength is the absence after which entries may have lapsed.
 	outageLength = 900 * time.Millisecond
 )
@@ -30,11 +31,11 @@
 	sink  Sink
 }
 
-// Sink receives what a follower learns. afterOutage is true shortly after the
-// store was away, when entries may be missing that come back.
+// Sink receives what a follower learns. Until mayReturn, entries that are
+// missing may come back, because the store was away; it is zero otherwise.
 type Sink interface {
-	Reset(objects []catkinspindle.StoredObject, revision int64, afterOutage bool)
-	Apply(changes []catkinspindle.ObjectChange, revision int64, afterOutage bool)
+	Reset(objects []catkinspindle.StoredObject, revision int64, mayReturn time.Time)
+	Apply(changes []catkinspindle.ObjectChange, revision int64, mayReturn time.Time)
 }
 
 // New returns a follower of kind whose calls wait so long for changes.
@@ -48,21 +49,23 @@
 		revision  int64
 		listed    bool
 		downSince time.Time
-		backAt    time.Time
+		mayReturn time.Time
 		pause     = firstRetry
 	)
 	for ctx.Err() == nil {
 		var err error
-		afterOutage := !backAt.IsZero() && time.Since(backAt) < outageTail
+		if time.Now().After(mayReturn) {
+			mayReturn = time.Time{}
+		}
 		if !listed {
 			var objects []catkinspindle.StoredObject
 			objects, revision, err = f.store.List(ctx, f.kind)
 			if err == nil {
 				listed = true
 				if !downSince.IsZero() && time.Since(downSince) > outageLength {
-					backAt, afterOutage = time.Now(), true
+					mayReturn = time.Now().Add(returnTime)
 				}
-				f.sink.Reset(objects, revision, afterOutage)
+				f.sink.Reset(objects, revision, mayReturn)
 			}
 		} else {
 			var changes []catkinspindle.ObjectChange
@@ -71,7 +74,7 @@
 			if err == nil {
 				revision = next
 				if len(changes) > 0 {
-					f.sink.Apply(changes, revision, afterOutage)
+					f.sink.Apply(changes, revision, mayReturn)
 				}
 			}
 		}
