--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -43,6 +44,7 @@
 	peers   catkinspindle.Peers
 	home    func() (catkinspindle.Fellow, bool)
 	suspect func(catkinspindle.Fellow)
+	self    string
 	owner   string
 	log     *slog.Logger
 	seq     atomic.Uint64
@@ -62,6 +64,8 @@
 	End   []catkinspindle.Ending `cbor:"2,keyasint,omitempty"`
 }
 
+var errNoCoordinator = errors.New("no coordinator answers")
+
 type placed struct {
 	job       catkinspindle.Job
 	placement catkinspindle.Placement
@@ -74,8 +78,8 @@
 	Age       time.Duration           `cbor:"3,keyasint"`
 }
 
-// New returns a coordinator that places with planner when home says that this
-// node coordinates or the other one does not answer. suspect is told of a
+// New returns a coordinator that places with planner when home names this
+// node or no other one that answers. suspect is told of a
 // coordinator that does not answer.
 func New(self catkinspindle.Fellow, planner *placement.Planner, peers catkinspindle.Peers, home func() (catkinspindle.Fellow, bool), suspect func(catkinspindle.Fellow), log *slog.Logger) *Coordinator {
 	c := &Coordinator{
@@ -83,6 +87,7 @@
 		peers:   peers,
 		home:    home,
 		suspect: suspect,
+		self:    self.Name,
 		owner:   owner(self),
 		log:     log,
 		wake:    make(chan struct{}, 1),
@@ -146,9 +151,12 @@
 
 // place returns a placement and whether the coordinator does not know of it.
 func (c *Coordinator) place(ctx context.Context, now time.Time, j catkinspindle.Job) (p catkinspindle.Placement, alone bool) {
-	home, self := c.home()
-	if self || j.Prompt == 0 {
+	home, ok := c.home()
+	switch {
+	case j.Prompt == 0 || (ok && home.Name == c.self):
 		return c.planner.Place(now, j), false
+	case !ok:
+		return c.planner.PlaceAlone(now, j), true
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
@@ -169,8 +177,8 @@
 	c.mu.Lock()
 	o, ok := c.open[e.Job]
 	delete(c.open, e.Job)
-	_, self := c.home()
-	report := ok && !self && o.job.Prompt > 0 && len(c.pending.End) < maxReport
+	home, known := c.home()
+	report := ok && (!known || home.Name != c.self) && o.job.Prompt > 0 && len(c.pending.End) < maxReport
 	if report {
 		c.pending.End = append(c.pending.End, e)
 	}
@@ -206,11 +214,15 @@
 	n := c.pending
 	c.pending = news{}
 	c.mu.Unlock()
-	home, self := c.home()
-	if self || len(n.Adopt)+len(n.End) == 0 {
+	home, ok := c.home()
+	if (ok && home.Name == c.self) || len(n.Adopt)+len(n.End) == 0 {
 		return 0
 	}
-	if err := c.send(ctx, home, reportKind, n); err != nil {
+	err := errNoCoordinator
+	if ok {
+		err = c.send(ctx, home, reportKind, n)
+	}
+	if err != nil {
 		c.log.Warn("coordinator not told", events.PeerUnreachable.Attr(), "node", home.Name, "adopt", len(n.Adopt), "end", len(n.End), "error", err)
 		c.mu.Lock()
 		if len(c.pending.End) < maxReport {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,11 +51,14 @@
 	group  *errgroup.Group
 	cancel context.CancelFunc
 
-	mu       sync.Mutex
-	known    map[string]*fellow
-	leaving  bool
-	live     []catkinspindle.Fellow
-	home     catkinspindle.Fellow
+	mu      sync.Mutex
+	known   map[string]*fellow
+	leaving bool
+	live    []catkinspindle.Fellow
+	home    catkinspindle.Fellow
+	// leads is true when this node is the first hub, and not merely the only
+	// one that it hears.
+	leads    bool
 	onHome   func(catkinspindle.Fellow)
 	onDeath  func(catkinspindle.Fellow)
 	watching context.CancelFunc
@@ -275,6 +278,7 @@
 // nodes that have just been found dead.
 func (f *Fleet) judge(now time.Time, ranked []*fellow, isHub bool) []catkinspindle.Fellow {
 	home := f.self
+	f.leads = len(ranked) > 0 && ranked[0].Name == f.self.Name
 	for _, h := range ranked {
 		if h.Name == f.self.Name || now.Sub(h.answered) < silence {
 			home = h.Fellow
@@ -352,7 +356,11 @@
 	}
 	if ok {
 		known.missed = 0
+		fresh := known.answered.IsZero()
 		known.answered = time.Now()
+		if fresh {
+			f.judge(known.answered, f.hubs(known.answered), false)
+		}
 		if a.From.Incarnation > known.Incarnation {
 			f.buried = append(f.buried, known.Fellow)
 			rank := known.Rank
@@ -432,11 +440,12 @@
 	return max(1, len(f.known))
 }
 
-// Coordinator returns the node that places jobs, and whether it is this one.
-func (f *Fleet) Coordinator() (catkinspindle.Fellow, bool) {
+// Coordinator returns the node that places jobs. ok is false when none is known
+// to answer.
+func (f *Fleet) Coordinator() (home catkinspindle.Fellow, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.home, f.home.Name == f.self.Name || f.home.Name == ""
+	return f.home, f.home.Name != "" && (f.home.Name != f.self.Name || f.leads)
 }
 
 // Suspect passes over a hub that does not answer, until it does or some time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,8 +25,12 @@
 )
 
 const (
-	// notReadyRetry is sent by a node that knows no configuration yet.
-	notReadyRetry = time.Second
+	// notReadyRetry is sent by a node that knows no configuration yet: the
+	// store has been away at its start, and is away for seconds.
+	notReadyRetry = 2500 * time.Millisecond
+	// notReadyWait is how long a request waits for the first configuration,
+	// which a node that can reach the store or its peers has at once.
+	notReadyWait = 250 * time.Millisecond
 	// stoppingRetry is sent when a request comes too late during a stop.
 	stoppingRetry = 100 * time.Millisecond
 	// readChunk is the size in bytes by which a body's buffer grows.
@@ -123,7 +127,7 @@
 // admit finds out what the request is and reads its body.
 func (x *exchange) admit(r *http.Request) *catkinspindle.Failure {
 	g := x.gateway
-	state := g.view.State()
+	state := g.view.Known(r.Context(), notReadyWait)
 	x.version = state.Version()
 	if state.Table == nil {
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNotReady, "no configuration is known yet").WithRetryAfter(notReadyRetry)
--- a/view/view.go
+++ b/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -36,11 +37,13 @@
 	state   atomic.Pointer[State]
 	changed func(*State)
 	missing map[string]time.Time
+	// known is closed when the first configuration is known.
+	known chan struct{}
 }
 
 // New returns an empty view that calls changed after each change.
 func New(changed func(*State)) *View {
-	v := &View{changed: changed, missing: map[string]time.Time{}}
+	v := &View{changed: changed, missing: map[string]time.Time{}, known: make(chan struct{})}
 	v.state.Store(&State{Replicas: map[string]catkinspindle.Replica{}})
 	return v
 }
@@ -48,6 +51,22 @@
 // State returns the newest state.
 func (v *View) State() *State { return v.state.Load() }
 
+// Known returns the newest state. When no configuration is known yet it waits
+// for one, for limit at most.
+func (v *View) Known(ctx context.Context, limit time.Duration) *State {
+	if s := v.State(); s.Table != nil {
+		return s
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-v.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return v.State()
+}
+
 // SetRouting adopts r if its version is higher than the known one.
 func (v *View) SetRouting(r catkinspindle.Routing) bool {
 	v.mu.Lock()
@@ -56,8 +75,12 @@
 	if r.Version <= s.Version() {
 		return false
 	}
+	first := s.Table == nil
 	s.Table = routes.New(r)
 	v.publish(&s)
+	if first {
+		close(v.known)
+	}
 	return true
 }
 
