Presume nodes alive that had no time to send a heartbeat

Cause: a node that became a hub counted all others as dead until their first heartbeat, told callers of itself alone and dropped the jobs of all others (fleet.TestRestartBuriesTheOldIncarnation showed it; the logs of every start have the lines). Change: whom the last coordinator counted is presumed alive for the time of the silence limit.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,7 +58,9 @@
 	home    catkinspindle.Fellow
 	// leads is true when this node is the first hub, and not merely the only
 	// one that it hears.
-	leads    bool
+	leads bool
+	// hearing is since when this node gets the heartbeats of all others.
+	hearing  time.Time
 	onHome   func(catkinspindle.Fellow)
 	onDeath  func(catkinspindle.Fellow)
 	watching context.CancelFunc
@@ -76,6 +78,8 @@
 	shunned time.Time
 	// answered is when it last answered a heartbeat.
 	answered time.Time
+	// presumed is until when it counts as alive without a heartbeat.
+	presumed time.Time
 	dead     bool
 }
 
@@ -194,7 +198,7 @@
 	}
 	known, ok := f.known[n.Name]
 	if !ok {
-		f.known[n.Name] = &fellow{Fellow: n}
+		f.known[n.Name] = &fellow{Fellow: n, presumed: time.Now().Add(silence)}
 		return
 	}
 	if n.Incarnation < known.Incarnation {
@@ -202,7 +206,7 @@
 	}
 	if n.Incarnation > known.Incarnation {
 		f.buried = append(f.buried, known.Fellow)
-		*known = fellow{Fellow: n, heard: known.heard}
+		*known = fellow{Fellow: n, heard: known.heard, presumed: time.Now().Add(silence)}
 		return
 	}
 	leaving := known.Leaving || n.Leaving
@@ -294,12 +298,16 @@
 		})
 	}
 	if !isHub && home.Name != f.self.Name {
+		f.hearing = time.Time{}
 		return nil
 	}
+	if f.hearing.IsZero() {
+		f.presume(now)
+	}
 	var lost []catkinspindle.Fellow
 	live := make([]catkinspindle.Fellow, 0, len(f.known))
 	for _, n := range f.known {
-		alive := n.Name == f.self.Name || now.Sub(n.heard) < silence || now.Sub(n.answered) < silence
+		alive := n.Name == f.self.Name || now.Sub(n.heard) < silence || now.Sub(n.answered) < silence || now.Before(n.presumed)
 		if alive {
 			live = append(live, n.Fellow)
 		}
@@ -314,6 +322,18 @@
 	return lost
 }
 
+// presume takes those for alive whom the coordinator so far counted, or all that
+// are registered, until they have had the time to send a heartbeat here.
+func (f *Fleet) presume(now time.Time) {
+	f.hearing = now
+	for _, n := range f.known {
+		counted := len(f.live) == 0 || slices.ContainsFunc(f.live, func(l catkinspindle.Fellow) bool { return l.Name == n.Name })
+		if counted {
+			n.presumed = now.Add(silence)
+		}
+	}
+}
+
 func (f *Fleet) setLive(live []catkinspindle.Fellow) {
 	slices.SortFunc(live, func(a, b catkinspindle.Fellow) int { return cmp.Compare(a.Name, b.Name) })
 	f.live = live
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,275 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/fleet"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+// network carries messages between the nodes of a test.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]catkinspindle.PeerHandler
+	down     map[string]bool
+}
+
+// port is one node's end of the network.
+type port struct {
+	network *network
+	address string
+}
+
+func (p port) Handle(_ string, h catkinspindle.PeerHandler) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	p.network.handlers[p.address] = h
+}
+
+func (p port) Call(ctx context.Context, address, _ string, req, resp any) error {
+	p.network.mu.Lock()
+	h, down := p.network.handlers[address], p.network.down[address] || p.network.down[p.address]
+	p.network.mu.Unlock()
+	if down || h == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	data, err := cbor.Marshal(req)
+	if err != nil {
+		return err
+	}
+	v, err := h(ctx, func(v any) error { return cbor.Unmarshal(data, v) })
+	if err != nil {
+		return err
+	}
+	if data, err = cbor.Marshal(v); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, resp)
+}
+
+func (n *network) setDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = down
+}
+
+type node struct {
+	*fleet.Fleet
+	self     catkinspindle.Fellow
+	view     *view.View
+	mu       sync.Mutex
+	watching bool
+	dead     []string
+}
+
+func (n *node) watch(ctx context.Context) {
+	n.set(true)
+	<-ctx.Done()
+	n.set(false)
+}
+
+func (n *node) set(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watching = on
+}
+
+func (n *node) watches() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.watching
+}
+
+func startNodes(t *testing.T, count int) (*network, []*node) {
+	t.Helper()
+	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}}
+	var (
+		nodes   []*node
+		fellows []catkinspindle.Fellow
+	)
+	for i := range count {
+		fellows = append(fellows, fellow(i, 1))
+	}
+	for _, self := range fellows {
+		n := &node{self: self, view: view.New(nil)}
+		n.Fleet = fleet.New(self, port{net, self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler),
+			fleet.WithDeath(func(f catkinspindle.Fellow) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.dead = append(n.dead, fmt.Sprintf("%s/%d", f.Name, f.Incarnation))
+			}))
+		n.Learn(fellows)
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		if err := n.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return net, nodes
+}
+
+func fellow(i int, incarnation int64) catkinspindle.Fellow {
+	name := fmt.Sprintf("n%d", i)
+	return catkinspindle.Fellow{Name: name, Incarnation: incarnation, PeerAddress: "peer-" + name, CallersAddress: "callers-" + name, Rank: int64(10*incarnation + int64(i))}
+}
+
+func stop(t *testing.T, nodes []*node) {
+	t.Helper()
+	for _, n := range nodes {
+		if err := n.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func names(list []catkinspindle.Fellow) (out []string) {
+	for _, f := range list {
+		out = append(out, f.Name)
+	}
+	return out
+}
+
+// Few nodes watch the store, all agree on the coordinator and on who is live,
+// and a configuration that one of the watchers learns reaches everybody.
+func TestFewWatchAndAllKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startNodes(t, 8)
+		defer stop(t, nodes)
+		time.Sleep(2 * time.Second)
+		watching := 0
+		for _, n := range nodes {
+			if n.watches() {
+				watching++
+			}
+			home, ok := n.Coordinator()
+			if home.Name != "n0" || !ok {
+				t.Errorf("%s takes %q for the coordinator, known: %t", n.self.Name, home.Name, ok)
+			}
+			if diff := cmp.Diff(8, len(n.Live())); diff != "" {
+				t.Errorf("live nodes for %s (-want +got):\n%s", n.self.Name, diff)
+			}
+		}
+		if diff := cmp.Diff(3, watching); diff != "" {
+			t.Errorf("nodes that watch the store (-want +got):\n%s", diff)
+		}
+		nodes[1].view.SetRouting(catkinspindle.Routing{Version: 4})
+		nodes[2].view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r"}}, 7, time.Time{})
+		time.Sleep(600 * time.Millisecond)
+		for _, n := range nodes {
+			s := n.view.State()
+			if s.Version() != 4 || s.ReplicasRevision != 7 {
+				t.Errorf("%s knows version %d and revision %d", n.self.Name, s.Version(), s.ReplicasRevision)
+			}
+		}
+	})
+}
+
+// When the coordinator falls silent the next one takes over, and a third one
+// takes up the watch.
+func TestNextCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 6)
+		defer stop(t, nodes)
+		time.Sleep(2 * time.Second)
+		net.setDown("peer-n0", true)
+		time.Sleep(2500 * time.Millisecond)
+		watching := 0
+		for _, n := range nodes[1:] {
+			if home, ok := n.Coordinator(); home.Name != "n1" || !ok {
+				t.Errorf("%s takes %q for the coordinator", n.self.Name, home.Name)
+			}
+			if n.watches() {
+				watching++
+			}
+			for _, f := range n.Live() {
+				if f.Name == "n0" {
+					t.Errorf("%s counts the silent node as live", n.self.Name)
+				}
+			}
+		}
+		if diff := cmp.Diff(3, watching); diff != "" {
+			t.Errorf("nodes that watch the store (-want +got):\n%s", diff)
+		}
+		if _, ok := nodes[0].Coordinator(); ok && !nodes[0].watches() {
+			t.Error("the silent node neither watches the store nor knows that it is alone")
+		}
+	})
+}
+
+// The jobs of an incarnation that a newer one has replaced are dropped, also
+// when the node was never silent for long.
+func TestRestartBuriesTheOldIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 4)
+		defer stop(t, nodes)
+		time.Sleep(2 * time.Second)
+		reborn := fellow(3, 2)
+		if err := nodes[3].Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		n := &node{self: reborn, view: view.New(nil)}
+		n.Fleet = fleet.New(reborn, port{net, reborn.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler))
+		n.Learn([]catkinspindle.Fellow{fellow(0, 1), fellow(1, 1), fellow(2, 1), reborn})
+		nodes[3] = n
+		if err := n.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		nodes[0].mu.Lock()
+		defer nodes[0].mu.Unlock()
+		if diff := cmp.Diff([]string{"n3/1"}, nodes[0].dead); diff != "" {
+			t.Errorf("buried at the coordinator (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A node that is asked to stop is out of all address answers within a second.
+func TestLeavingNodeIsNotNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startNodes(t, 5)
+		defer stop(t, nodes)
+		time.Sleep(2 * time.Second)
+		nodes[0].Leave()
+		time.Sleep(time.Second)
+		for _, n := range nodes {
+			if diff := cmp.Diff([]string{"n1", "n2", "n3", "n4"}, names(n.Live())); diff != "" {
+				t.Errorf("live nodes for %s (-want +got):\n%s", n.self.Name, diff)
+			}
+			if home, ok := n.Coordinator(); n != nodes[0] && (home.Name != "n1" || !ok) {
+				t.Errorf("%s takes %q for the coordinator", n.self.Name, home.Name)
+			}
+		}
+	})
+}
+
+// A node that hears nobody does not take itself for the coordinator at once,
+// since others may place on the same replicas.
+func TestStartAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 3)
+		defer stop(t, nodes)
+		for i := range nodes {
+			net.setDown(fmt.Sprintf("peer-n%d", i), true)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if home, ok := nodes[2].Coordinator(); ok && home.Name == "n2" {
+			t.Error("the last node coordinates although it has not tried the others")
+		}
+		time.Sleep(2 * time.Second)
+		if !nodes[2].watches() {
+			t.Error("a node that hears nobody does not watch the store")
+		}
+	})
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,374 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/gateway"
+	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/retries"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+// step is what a replica does with one attempt.
+type step struct {
+	// err ends the attempt without an answer.
+	err    error
+	status int
+	notRun bool
+	body   string
+	// broken breaks the body off after its last byte; silent leaves it open.
+	broken, silent bool
+}
+
+// world is a placer and the replicas behind it.
+type world struct {
+	mu       sync.Mutex
+	steps    []step
+	attempts []catkinspindle.Attempt
+	endings  []catkinspindle.Outcome
+	refusal  *catkinspindle.Placement
+	placed   int
+	gone     chan struct{}
+}
+
+func (w *world) Place(_ context.Context, j catkinspindle.Job) catkinspindle.Placement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refusal != nil {
+		return *w.refusal
+	}
+	w.placed++
+	for _, id := range []string{"r1", "r2", "r3"} {
+		avoided := false
+		for _, a := range j.Avoid {
+			avoided = avoided || a == id
+		}
+		if !avoided {
+			return catkinspindle.Placement{Job: "j", Replica: id}
+		}
+	}
+	return catkinspindle.Placement{Reason: catkinspindle.ReasonNoBackend, RetryAfter: time.Second}
+}
+
+func (w *world) End(e catkinspindle.Ending) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endings = append(w.endings, e.Outcome)
+}
+
+func (w *world) Send(ctx context.Context, _ catkinspindle.Envelope, a catkinspindle.Attempt, _ bool) (*catkinspindle.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempts = append(w.attempts, a)
+	if len(w.steps) == 0 {
+		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonUnreachable, "no more steps")
+	}
+	s := w.steps[0]
+	w.steps = w.steps[1:]
+	if s.err != nil {
+		return nil, s.err
+	}
+	var end io.Reader = strings.NewReader("")
+	if s.broken {
+		end = failing{io.ErrUnexpectedEOF}
+	}
+	if s.silent {
+		end = waiting{ctx, w.gone}
+	}
+	return &catkinspindle.Answer{
+		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
+		Body:       io.NopCloser(io.MultiReader(strings.NewReader(s.body), end)),
+	}, nil
+}
+
+func (*world) Acquire(context.Context, []catkinspindle.Reservation) (func(), error) {
+	return func() {}, nil
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+type waiting struct {
+	ctx  context.Context
+	gone chan struct{}
+}
+
+func (w waiting) Read([]byte) (int, error) {
+	<-w.ctx.Done()
+	if w.gone != nil {
+		close(w.gone)
+	}
+	return 0, w.ctx.Err()
+}
+
+func routing() catkinspindle.Routing {
+	target := []catkinspindle.RouteTarget{{Service: "s", Weight: 1}}
+	route := func(prefix string, repeat catkinspindle.Repeat, streaming bool, attempts int) catkinspindle.Route {
+		return catkinspindle.Route{Name: prefix, Host: "h.example", Prefix: prefix, Repeat: repeat, Streaming: streaming, MaxAttempts: attempts, Timeout: 20 * time.Second, Aim: 10 * time.Second, MaxPause: 10 * time.Second, Targets: target}
+	}
+	open := route("/open/", catkinspindle.RepeatAnytime, false, 2)
+	open.Public = true
+	brief := route("/brief/", catkinspindle.RepeatAnytime, false, 2)
+	brief.Timeout = time.Millisecond
+	return catkinspindle.Routing{
+		Version: 1,
+		Routes: []catkinspindle.Route{
+			route("/once/", catkinspindle.RepeatNever, false, 1), route("/any/", catkinspindle.RepeatAnytime, false, 2),
+			route("/stream/", catkinspindle.RepeatResume, true, 2), open, brief,
+		},
+		Services:   []catkinspindle.ReplicaService{{Name: "s"}},
+		Limits:     catkinspindle.TrafficLimits{MaxBody: 1000},
+		KeyHolders: []catkinspindle.KeyHolder{{Workspace: "w", Keys: []string{"k"}}},
+	}
+}
+
+func serve(t *testing.T, w *world, allowance float64, known bool) (*gateway.Gateway, *httptest.Server) {
+	t.Helper()
+	v := view.New(nil)
+	if known {
+		v.SetRouting(routing())
+	}
+	list := map[string]catkinspindle.Replica{}
+	for _, id := range []string{"r1", "r2", "r3"} {
+		list[id] = catkinspindle.Replica{ID: id, Service: "s"}
+	}
+	v.SetReplicas(list, 1, time.Time{})
+	b := retries.New(catkinspindle.RetryAllowance{Window: 10 * time.Second, Floor: allowance}, 1)
+	g := gateway.New(v, w, w, w, b, gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, slog.New(slog.DiscardHandler))
+	server := httptest.NewServer(g)
+	t.Cleanup(server.Close)
+	return g, server
+}
+
+func ask(t *testing.T, server *httptest.Server, path, key string, body string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", "a")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := server.Client().Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+var (
+	errSent   = catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "reset")
+	errUnsent = catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonUnreachable, "no connection")
+	okAnswer  = step{status: 200, body: "fine"}
+	ranBadly  = step{status: 500, body: "oops"}
+	refusing  = step{status: 503, notRun: true}
+)
+
+// A status that promises that nothing was run is sent only when that is so, and
+// a request that may run once only is never sent again once it may have run.
+func TestVerdicts(t *testing.T) {
+	tests := map[string]struct {
+		path     string
+		steps    []step
+		refused  bool
+		budget   float64
+		status   int
+		attempts int
+	}{
+		"once, answered":                    {"/once/", []step{okAnswer}, false, 9, 200, 1},
+		"once, placing refused":             {"/once/", nil, true, 9, 503, 0},
+		"once, replica refuses":             {"/once/", []step{refusing, okAnswer}, false, 9, 503, 1},
+		"once, broken after sending":        {"/once/", []step{{err: errSent}, okAnswer}, false, 9, 502, 1},
+		"once, answer broken off":           {"/once/", []step{{status: 200, body: "fi", broken: true}, okAnswer}, false, 9, 502, 1},
+		"once, replica's failure unchanged": {"/once/", []step{ranBadly, okAnswer}, false, 9, 500, 1},
+		"once, unreachable then answered":   {"/once/", []step{{err: errUnsent}, okAnswer}, false, 9, 200, 2},
+		"once, nobody reachable":            {"/once/", []step{{err: errUnsent}, {err: errUnsent}, {err: errUnsent}}, false, 9, 503, 3},
+		"any, replica refuses":              {"/any/", []step{refusing, okAnswer}, false, 9, 200, 2},
+		"any, all refuse":                   {"/any/", []step{refusing, refusing, okAnswer}, false, 9, 503, 2},
+		"any, broken then answered":         {"/any/", []step{{err: errSent}, okAnswer}, false, 9, 200, 2},
+		"any, failure then answered":        {"/any/", []step{ranBadly, okAnswer}, false, 9, 200, 2},
+		"any, two failures":                 {"/any/", []step{ranBadly, ranBadly, okAnswer}, false, 9, 500, 2},
+		"any, broken then refused":          {"/any/", []step{{err: errSent}, refusing}, false, 9, 502, 2},
+		"any, no budget for a repeat":       {"/any/", []step{{err: errSent}, okAnswer}, false, 0, 502, 1},
+		"any, refusal and no budget":        {"/any/", []step{refusing, okAnswer}, false, 0, 503, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{steps: tt.steps}
+			if tt.refused {
+				w.refusal = &catkinspindle.Placement{Reason: catkinspindle.ReasonOverload, RetryAfter: 1500 * time.Millisecond}
+			}
+			_, server := serve(t, w, tt.budget, true)
+			resp, _, err := ask(t, server, tt.path, "k", "")
+			server.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]int{tt.status, tt.attempts}, []int{resp.StatusCode, len(w.attempts)}); diff != "" {
+				t.Errorf("status and attempts (-want +got):\n%s", diff)
+			}
+			if own := resp.Header.Get("Response-Seal") == ""; own != (resp.StatusCode > 500) {
+				t.Errorf("status %d with seal %q", resp.StatusCode, resp.Header.Get("Response-Seal"))
+			}
+			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+		})
+	}
+}
+
+func TestRefusalsBeforePlacing(t *testing.T) {
+	tests := map[string]struct {
+		path, key, body string
+		status          int
+	}{
+		"no route":        {"/none/", "k", "", 404},
+		"no key":          {"/any/", "", "", 401},
+		"unknown key":     {"/any/", "other", "", 401},
+		"public":          {"/open/", "", "", 200},
+		"body too large":  {"/any/", "k", strings.Repeat("x", 1001), 413},
+		"body just fits":  {"/any/", "k", strings.Repeat("x", 1000), 200},
+		"time is over":    {"/brief/", "k", "", 504},
+		"route by prefix": {"/any/deeper?q=/none/", "k", "", 200},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{steps: []step{okAnswer}}
+			if tt.path == "/brief/" {
+				w.steps = []step{{status: 200, silent: true}}
+			}
+			_, server := serve(t, w, 9, true)
+			resp, _, err := ask(t, server, tt.path, tt.key, tt.body)
+			server.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			// A route whose time is over before anything was sent has not run.
+			if tt.status == 504 && resp.StatusCode == 503 && len(w.attempts) == 0 {
+				return
+			}
+			if diff := cmp.Diff(tt.status, resp.StatusCode); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A node without configuration refuses truthfully and says when to come back.
+func TestWithoutConfiguration(t *testing.T) {
+	_, server := serve(t, &world{}, 9, false)
+	resp, _, err := ask(t, server, "/any/", "k", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
+// A stream that breaks goes on at another replica after the last whole event,
+// under the head of the first one; no event is missing, doubled or joined.
+func TestStreamIsResumed(t *testing.T) {
+	tests := map[string]struct {
+		steps []step
+		want  string
+		cut   bool
+	}{
+		"between events":      {[]step{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}, {status: 200, body: "id: 2\ndata: b\n\n"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false},
+		"within an event":     {[]step{{status: 200, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true}, {status: 200, body: "id: 2\ndata: b\n\n"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false},
+		"ends in an event":    {[]step{{status: 200, body: "id: 1\ndata: a\n\nid: 2\n"}, {status: 200, body: "id: 2\ndata: b\n\n"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false},
+		"repeats an event":    {[]step{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}, {status: 200, body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false},
+		"leaves an event out": {[]step{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}, {status: 200, body: "id: 3\ndata: c\n\n"}}, "id: 1\ndata: a\n\n", true},
+		"cannot go on":        {[]step{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}, refusing}, "id: 1\ndata: a\n\n", true},
+		"fails when resumed":  {[]step{{status: 200, body: "id: 1\ndata: a\n\n", broken: true}, ranBadly}, "id: 1\ndata: a\n\n", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{steps: tt.steps}
+			_, server := serve(t, w, 9, true)
+			resp, body, err := ask(t, server, "/stream/", "k", "")
+			server.Close()
+			if resp == nil {
+				t.Fatal(err)
+			}
+			if (err != nil) != tt.cut {
+				t.Errorf("error %v, want a cut: %t", err, tt.cut)
+			}
+			if diff := cmp.Diff(tt.want, body); diff != "" {
+				t.Errorf("stream (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff("r1", resp.Header.Get("Response-Seal")); diff != "" {
+				t.Errorf("seal (-want +got):\n%s", diff)
+			}
+			if len(w.attempts) == 2 && w.attempts[1].AfterEvent != "1" {
+				t.Errorf("resumed after event %q", w.attempts[1].AfterEvent)
+			}
+		})
+	}
+}
+
+// When the caller goes, the replica's connection is given up and nothing else
+// is tried.
+func TestCallerGone(t *testing.T) {
+	w := &world{steps: []step{{status: 200, body: "id: 1\ndata: a\n\n", silent: true}, okAnswer}, gone: make(chan struct{})}
+	_, server := serve(t, w, 9, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/stream/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", "a")
+	req.Header.Set("Authorization", "Bearer k")
+	resp, err := server.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	<-w.gone
+	_ = resp.Body.Close()
+	server.Close()
+	if diff := cmp.Diff([]catkinspindle.Outcome{catkinspindle.OutcomeGivenUp}, w.endings); diff != "" {
+		t.Errorf("endings (-want +got):\n%s", diff)
+	}
+	if len(w.attempts) != 1 {
+		t.Errorf("%d attempts after the caller had gone", len(w.attempts))
+	}
+}
+
+// During a planned stop each answer is the last on its connection; what comes
+// too late is refused as not run.
+func TestStopping(t *testing.T) {
+	w := &world{steps: []step{okAnswer, okAnswer}}
+	g, server := serve(t, w, 9, true)
+	g.CloseConnections()
+	resp, _, err := ask(t, server, "/any/", "k", "")
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Fatalf("answer %v, error %v; want a success that closes the connection", resp, err)
+	}
+	g.Refuse()
+	resp, _, err = ask(t, server, "/any/", "k", "")
+	server.Close()
+	if err != nil || resp.StatusCode != 503 {
+		t.Errorf("answer %v, error %v; want 503", resp, err)
+	}
+	if len(w.attempts) != 1 {
+		t.Errorf("%d attempts", len(w.attempts))
+	}
+}
--- /dev/null
+++ b/watch/follower_test.go
@@ -0,0 +1,199 @@
+package watch_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/watch"
+)
+
+// source is a store whose objects, history and state a test sets.
+type source struct {
+	catkinspindle.ObjectStore
+	mu       sync.Mutex
+	objects  map[string]bool
+	revision int64
+	floor    int64
+	down     bool
+	changes  []catkinspindle.ObjectChange
+	lists    int
+}
+
+var errDown = errors.New("down")
+
+func (s *source) List(context.Context, string) ([]catkinspindle.StoredObject, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	s.lists++
+	var list []catkinspindle.StoredObject
+	for name := range s.objects {
+		list = append(list, catkinspindle.StoredObject{Name: name})
+	}
+	return list, s.revision, nil
+}
+
+func (s *source) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]catkinspindle.ObjectChange, int64, error) {
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		var list []catkinspindle.ObjectChange
+		for _, c := range s.changes {
+			if c.Object.Revision > after {
+				list = append(list, c)
+			}
+		}
+		down, gone, revision := s.down, after < s.floor, s.revision
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, after, errDown
+		case gone:
+			return nil, after, catkinspindle.ErrHistoryGone
+		case len(list) > 0 || time.Now().After(end):
+			return list, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (s *source) set(name string, present bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.objects[name] = true
+	if !present {
+		delete(s.objects, name)
+	}
+	s.changes = append(s.changes, catkinspindle.ObjectChange{Object: catkinspindle.StoredObject{Name: name, Revision: s.revision}, Deleted: !present})
+}
+
+// sink is a copy of the objects.
+type sink struct {
+	mu        sync.Mutex
+	known     map[string]bool
+	mayReturn time.Time
+}
+
+func (k *sink) Reset(objects []catkinspindle.StoredObject, _ int64, mayReturn time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.known, k.mayReturn = map[string]bool{}, mayReturn
+	for _, o := range objects {
+		k.known[o.Name] = true
+	}
+}
+
+func (k *sink) Apply(changes []catkinspindle.ObjectChange, _ int64, mayReturn time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.mayReturn = mayReturn
+	for _, c := range changes {
+		k.known[c.Object.Name] = true
+		if c.Deleted {
+			delete(k.known, c.Object.Name)
+		}
+	}
+}
+
+func follow(t *testing.T, s *source) (*sink, func()) {
+	t.Helper()
+	k := &sink{known: map[string]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	f := watch.New(s, "k", time.Second, slog.New(slog.DiscardHandler), k)
+	time.AfterFunc(0, func() {
+		f.Run(ctx)
+		close(done)
+	})
+	return k, func() {
+		cancel()
+		<-done
+	}
+}
+
+func (k *sink) check(t *testing.T, when string, want ...string) {
+	t.Helper()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	set := map[string]bool{}
+	for _, name := range want {
+		set[name] = true
+	}
+	if diff := cmp.Diff(set, k.known); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", when, diff)
+	}
+}
+
+func TestFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{objects: map[string]bool{"a": true}, revision: 1}
+		k, stop := follow(t, s)
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		k.check(t, "after the list", "a")
+		s.set("b", true)
+		s.set("a", false)
+		time.Sleep(100 * time.Millisecond)
+		k.check(t, "after two changes", "b")
+		if !k.mayReturn.IsZero() {
+			t.Error("entries may return although the store was never away")
+		}
+	})
+}
+
+// After the history is gone the objects are listed again, and nothing that was
+// changed meanwhile is missed.
+func TestFollowerListsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{objects: map[string]bool{"a": true}, revision: 1}
+		k, stop := follow(t, s)
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		s.mu.Lock()
+		s.objects, s.revision, s.floor = map[string]bool{"c": true}, 9, 9
+		s.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		k.check(t, "after the compaction", "c")
+	})
+}
+
+// After an outage entries may return for about two seconds, counted from the
+// store's return.
+func TestFollowerAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{objects: map[string]bool{"a": true}, revision: 1}
+		k, stop := follow(t, s)
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		s.mu.Lock()
+		s.down, s.objects, s.revision = false, map[string]bool{}, 5
+		s.mu.Unlock()
+		back := time.Now()
+		time.Sleep(time.Second)
+		k.mu.Lock()
+		until := k.mayReturn
+		k.mu.Unlock()
+		if until.Before(back.Add(1900*time.Millisecond)) || until.After(back.Add(2600*time.Millisecond)) {
+			t.Errorf("entries may return until %v after the store's return", until.Sub(back))
+		}
+	})
+}
