Have other nodes watch the store while all hubs are turned away

Ruled out: lost heartbeats; every node had version 13 within 0.3 s. Test: fleet.TestOthersWatchForBlindHubs.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -19,7 +19,8 @@
 
 // network carries messages between the nodes of a test.
 type network struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// handlers are by address and kind.
 	handlers map[string]catkinspindle.PeerHandler
 	down     map[string]bool
 }
@@ -30,15 +31,15 @@
 	address string
 }
 
-func (p port) Handle(_ string, h catkinspindle.PeerHandler) {
+func (p port) Handle(kind string, h catkinspindle.PeerHandler) {
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
-	p.network.handlers[p.address] = h
+	p.network.handlers[p.address+kind] = h
 }
 
-func (p port) Call(ctx context.Context, address, _ string, req, resp any) error {
+func (p port) Call(ctx context.Context, address, kind string, req, resp any) error {
 	p.network.mu.Lock()
-	h, down := p.network.handlers[address], p.network.down[address] || p.network.down[p.address]
+	h, down := p.network.handlers[address+kind], p.network.down[address] || p.network.down[p.address]
 	p.network.mu.Unlock()
 	if down || h == nil {
 		<-ctx.Done()
@@ -52,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if resp == nil {
+		return nil
+	}
 	if data, err = cbor.Marshal(v); err != nil {
 		return err
 	}
@@ -70,9 +74,16 @@
 	view     *view.View
 	mu       sync.Mutex
 	watching bool
+	lost     bool
 	dead     []string
 }
 
+func (n *node) setLost(lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = lost
+}
+
 func (n *node) watch(ctx context.Context) {
 	n.set(true)
 	<-ctx.Done()
@@ -104,6 +115,11 @@
 	for _, self := range fellows {
 		n := &node{self: self, view: view.New(nil)}
 		n.Fleet = fleet.New(self, port{net, self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler),
+			fleet.WithBlindness(func() bool {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				return n.lost
+			}),
 			fleet.WithDeath(func(f catkinspindle.Fellow) {
 				n.mu.Lock()
 				defer n.mu.Unlock()
@@ -161,7 +177,7 @@
 				t.Errorf("live nodes for %s (-want +got):\n%s", n.self.Name, diff)
 			}
 		}
-		if diff := cmp.Diff(3, watching); diff != "" {
+		if diff := cmp.Diff(4, watching); diff != "" {
 			t.Errorf("nodes that watch the store (-want +got):\n%s", diff)
 		}
 		nodes[1].view.SetRouting(catkinspindle.Routing{Version: 4})
@@ -176,6 +192,39 @@
 	})
 }
 
+// When the store turns all hubs away, other nodes take up the watch, and what
+// they learn reaches everybody through the hubs.
+func TestOthersWatchForBlindHubs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startNodes(t, 12)
+		defer stop(t, nodes)
+		time.Sleep(2 * time.Second)
+		for _, n := range nodes[:4] {
+			n.setLost(true)
+		}
+		time.Sleep(time.Second)
+		if !nodes[4].watches() {
+			t.Fatal("no other node has taken up the watch after a second")
+		}
+		nodes[4].view.SetRouting(catkinspindle.Routing{Version: 9})
+		time.Sleep(600 * time.Millisecond)
+		for _, n := range nodes {
+			if diff := cmp.Diff(int64(9), n.view.State().Version()); diff != "" {
+				t.Errorf("version at %s (-want +got):\n%s", n.self.Name, diff)
+			}
+		}
+		for _, n := range nodes[:4] {
+			n.setLost(false)
+		}
+		time.Sleep(time.Second)
+		for _, n := range nodes[4:] {
+			if n.watches() {
+				t.Errorf("%s still watches after the hubs have the store back", n.self.Name)
+			}
+		}
+	})
+}
+
 // When the coordinator falls silent the next one takes over, and a third one
 // takes up the watch.
 func TestNextCoordinator(t *testing.T) {
@@ -199,7 +248,7 @@
 				}
 			}
 		}
-		if diff := cmp.Diff(3, watching); diff != "" {
+		if diff := cmp.Diff(4, watching); diff != "" {
 			t.Errorf("nodes that watch the store (-want +got):\n%s", diff)
 		}
 		if _, ok := nodes[0].Coordinator(); ok && !nodes[0].watches() {
--- /dev/null
+++ b/fleet/hubs.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
+)
+
+// order puts the nodes that are to be hubs first.
+func (n *fellow) order(o *fellow) int {
+	return cmp.Or(cmp.Compare(o.Capacity, n.Capacity), cmp.Compare(n.Rank, o.Rank), cmp.Compare(n.Name, o.Name))
+}
+
+func (f *Fleet) turn(ctx context.Context) {
+	now := time.Now()
+	f.view.Expire(now)
+	f.mu.Lock()
+	ranked := f.hubs(now)
+	isHub := false
+	heard, sighted := false, false
+	var others []fellow
+	for _, h := range ranked {
+		if h.Name == f.self.Name {
+			isHub = true
+			continue
+		}
+		others = append(others, *h)
+		if now.Sub(h.answered) < silence {
+			heard = true
+			sighted = sighted || !h.blind
+		}
+	}
+	sighted = sighted || (isHub && !f.blind())
+	f.setBlindSince(now, !sighted && (heard || isHub))
+	needed := isHub || f.inRing(now) || (!heard && now.Sub(f.started) > firstAnswer)
+	message := beatMessage{From: f.self, ConfigVersion: f.view.State().Version(), ReplicasRevision: f.view.State().ReplicasRevision}
+	lost := append(f.judge(now, ranked, isHub), f.buried...)
+	f.buried = nil
+	f.mu.Unlock()
+	for _, n := range lost {
+		f.log.Warn("node is gone", events.FellowLost.Attr(), "node", n.Name, "incarnation", n.Incarnation)
+		f.onDeath(n)
+	}
+	f.setWatching(ctx, needed)
+	for _, h := range others {
+		f.group.Go(func() error {
+			f.beat(ctx, h.Fellow, message.withLiveHash(h.liveHash))
+			return nil
+		})
+	}
+}
+
+func (f *Fleet) setBlindSince(now time.Time, blind bool) {
+	switch {
+	case !blind:
+		f.blindSince = time.Time{}
+	case f.blindSince.IsZero():
+		f.blindSince = now
+	}
+}
+
+// inRing reports whether this node watches in place of hubs that have lost the
+// store: few nodes at first, more the longer it lasts.
+func (f *Fleet) inRing(now time.Time) bool {
+	if f.blindSince.IsZero() {
+		return false
+	}
+	count := hubs + ringNodes<<min(20, int(now.Sub(f.blindSince)/ring))
+	place := 0
+	for _, n := range f.known {
+		if n.Name != f.self.Name && !n.dead && n.order(f.known[f.self.Name]) < 0 {
+			place++
+		}
+	}
+	return place < count
+}
+
+// hubs returns the hubs in their order: the strongest VMs, of equal ones those
+// registered longest ago, without those that do not answer.
+func (f *Fleet) hubs(now time.Time) []*fellow {
+	var list []*fellow
+	for _, n := range f.known {
+		if n.Rank > 0 && now.After(n.shunned) && !n.Leaving {
+			list = append(list, n)
+		}
+	}
+	slices.SortFunc(list, (*fellow).order)
+	return list[:min(hubs, len(list))]
+}
+
+// judge chooses the coordinator and, on a hub, who is alive. It returns the
+// nodes that have just been found dead.
+func (f *Fleet) judge(now time.Time, ranked []*fellow, isHub bool) []catkinspindle.Fellow {
+	home := f.self
+	f.leads = len(ranked) > 0 && ranked[0].Name == f.self.Name
+	for _, h := range ranked {
+		if h.Name == f.self.Name || now.Sub(h.answered) < silence {
+			home = h.Fellow
+			break
+		}
+	}
+	if home.Name != f.home.Name || home.Incarnation != f.home.Incarnation {
+		f.log.Info("coordinator changed", events.HubChanged.Attr(), "node", home.Name, "incarnation", home.Incarnation, "rank", home.Rank)
+		f.home = home
+		f.group.Go(func() error {
+			f.onHome(home)
+			return nil
+		})
+	}
+	if !isHub && home.Name != f.self.Name {
+		f.hearing = time.Time{}
+		return nil
+	}
+	if f.hearing.IsZero() {
+		f.presume(now)
+	}
+	var lost []catkinspindle.Fellow
+	live := make([]catkinspindle.Fellow, 0, len(f.known))
+	for _, n := range f.known {
+		alive := n.Name == f.self.Name || now.Sub(n.heard) < silence || now.Sub(n.answered) < silence || now.Before(n.presumed)
+		if alive {
+			live = append(live, n.Fellow)
+		}
+		if !alive && !n.dead {
+			lost = append(lost, n.Fellow)
+		}
+		n.dead = !alive
+	}
+	if home.Name == f.self.Name {
+		f.setLive(live)
+	}
+	return lost
+}
+
+// presume takes those for alive whom the coordinator so far counted, or all that
+// are registered, until they have had the time to send a heartbeat here.
+func (f *Fleet) presume(now time.Time) {
+	f.hearing = now
+	for _, n := range f.known {
+		counted := len(f.live) == 0 || slices.ContainsFunc(f.live, func(l catkinspindle.Fellow) bool { return l.Name == n.Name })
+		if counted {
+			n.presumed = now.Add(silence)
+		}
+	}
+}
+
+func (f *Fleet) setLive(live []catkinspindle.Fellow) {
+	slices.SortFunc(live, func(a, b catkinspindle.Fellow) int { return cmp.Compare(a.Name, b.Name) })
+	f.live = live
+	h := xxhash.New()
+	for _, n := range live {
+		_, _ = fmt.Fprintln(h, n.Name, n.Incarnation, n.Rank, n.Leaving) // A hash takes every write.
+	}
+	f.liveHash = h.Sum64()
+}
+
+func (f *Fleet) setWatching(ctx context.Context, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case on && f.watching == nil:
+		watchCtx, cancel := context.WithCancel(ctx)
+		f.watching = cancel
+		f.group.Go(func() error {
+			f.watch(watchCtx)
+			return nil
+		})
+	case !on && f.watching != nil:
+		f.watching()
+		f.watching = nil
+	}
+}
+
+// Suspect passes over a hub that does not answer, until it does or some time
+// has passed.
+func (f *Fleet) Suspect(n catkinspindle.Fellow) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, ok := f.known[n.Name]
+	if !ok || known.Incarnation != n.Incarnation || n.Name == f.self.Name {
+		return
+	}
+	now := time.Now()
+	known.shunned = now.Add(shun)
+	known.answered = time.Time{}
+	f.judge(now, f.hubs(now), false)
+}
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -61,6 +61,7 @@
 	transport   *peers.Transport
 	fleet       *fleet.Fleet
 	coordinator *coordinator.Coordinator
+	blind       blindness
 
 	group  *errgroup.Group
 	cancel context.CancelFunc
@@ -135,6 +136,7 @@
 	}
 	n.transport = peers.NewWithTLS(n.settings.Peers, config, n.log)
 	n.fleet = fleet.New(n.self, n.transport, n.view, n.watch, n.log,
+		fleet.WithBlindness(n.blind.any),
 		fleet.WithCoordinatorChange(n.coordinatorChanged),
 		fleet.WithDeath(func(f catkinspindle.Fellow) { n.coordinator.Bury(f) }))
 	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.fleet.Suspect, n.log)
@@ -147,6 +149,17 @@
 	}
 	n.self.Rank = rank
 	n.fleet.LearnOne(n.self)
+	// The others are listed once; hubs tell of all changes.
+	err = n.persist(ctx, "list of nodes", func() error {
+		objects, revision, err := n.store.List(ctx, platform.NodesKind)
+		if err == nil {
+			nodesSink{n}.Reset(objects, revision, time.Time{})
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
 	if err := n.fleet.Start(ctx); err != nil {
 		return err
 	}
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,8 +19,8 @@
 	n.log.Info("watching the store", events.PlatformRegained.Attr())
 	var group errgroup.Group
 	for _, f := range []*watch.Follower{
-		watch.New(n.store, platform.ConfigKind, platform.WatchWait, n.log, configSink{n}),
-		watch.New(n.store, platform.ReplicasKind, platform.WatchWait, n.log, replicasSink{n}),
+		watch.New(n.store, platform.ConfigKind, platform.WatchWait, n.log, configSink{n}, watch.WithState(n.blind.set(platform.ConfigKind))),
+		watch.New(n.store, platform.ReplicasKind, platform.WatchWait, n.log, replicasSink{n}, watch.WithState(n.blind.set(platform.ReplicasKind))),
 		watch.New(n.store, platform.NodesKind, platform.NodesWatchWait, n.log, nodesSink{n}),
 	} {
 		group.Go(func() error {
@@ -30,6 +31,35 @@
 	_ = group.Wait() // The functions return no errors.
 }
 
+// blindness is which kinds of objects cannot be followed at present.
+type blindness struct {
+	mu   sync.Mutex
+	lost map[string]bool
+}
+
+// set returns a function that records whether a kind is lost.
+func (b *blindness) set(kind string) func(bool) {
+	return func(lost bool) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.lost == nil {
+			b.lost = map[string]bool{}
+		}
+		b.lost[kind] = lost
+	}
+}
+
+func (b *blindness) any() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, lost := range b.lost {
+		if lost {
+			return true
+		}
+	}
+	return false
+}
+
 type configSink struct{ n *Node }
 
 // Reset implements watch.Sink.
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -29,8 +29,15 @@
 	wait  time.Duration
 	log   *slog.Logger
 	sink  Sink
+	state func(lost bool)
 }
 
+// Option changes a follower.
+type Option func(*Follower)
+
+// WithState calls f when the store is lost and when it is regained.
+func WithState(f func(lost bool)) Option { return func(l *Follower) { l.state = f } }
+
 // Sink receives what a follower learns. Until mayReturn, entries that are
 // missing may come back, because the store was away; it is zero otherwise.
 type Sink interface {
@@ -39,12 +46,17 @@
 }
 
 // New returns a follower of kind whose calls wait so long for changes.
-func New(store catkinspindle.ObjectStore, kind string, wait time.Duration, log *slog.Logger, sink Sink) *Follower {
-	return &Follower{store: store, kind: kind, wait: wait, log: log, sink: sink}
+func New(store catkinspindle.ObjectStore, kind string, wait time.Duration, log *slog.Logger, sink Sink, opts ...Option) *Follower {
+	f := &Follower{store: store, kind: kind, wait: wait, log: log, sink: sink, state: func(bool) {}}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.state(false)
 	var (
 		revision  int64
 		listed    bool
@@ -80,6 +92,7 @@
 		}
 		if err == nil {
 			if !downSince.IsZero() {
+				f.state(false)
 				f.log.Info("store regained", events.PlatformRegained.Attr(), "kind", f.kind, "away", time.Since(downSince), "revision", revision)
 			}
 			downSince, pause = time.Time{}, firstRetry
@@ -94,6 +107,7 @@
 		}
 		if downSince.IsZero() {
 			downSince = time.Now()
+			f.state(true)
 			f.log.Warn("store lost", events.PlatformFailed.Attr(), "kind", f.kind, "revision", revision, "error", err)
 		}
 		// A watch that was cut may have missed nothing, but listing again also
