--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -25,7 +25,7 @@
 	// minStall is the shortest silence of a replica that counts as a failure.
 	minStall = 1200 * time.Millisecond
 	// minRefusal is the shortest Retry-After.
-	minRefusal = 50 * time.Millisecond
+	minRefusal = 250 * time.Millisecond
 	// callerStall is how long a caller may leave an event unread.
 	callerStall = 5 * time.Second
 )
@@ -226,9 +226,12 @@
 	x.sent++
 	if answer.NotRun {
 		e.Outcome = catkinspindle.OutcomeRefused
-		e.Culprit = answer.Culprit
+		e.Culprit = x.culprit(answer.Culprit)
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, readChunk)) // Only to keep the connection.
-		x.logAttempt(p, "refused", nil)
+		x.logAttempt(p, "refused, at fault: "+answer.Culprit, nil)
+		if e.Culprit != "" && e.Culprit != p.Replica {
+			x.avoid = append(x.avoid, e.Culprit)
+		}
 		return false, x.retry(ctx, &e, p.Replica)
 	}
 	x.verdict = catkinspindle.Ran
@@ -238,6 +241,19 @@
 	return x.plain(ctx, p, answer, &e, began)
 }
 
+// culprit returns the ID of the replica that an answer names by ID or address.
+func (x *exchange) culprit(name string) string {
+	if _, ok := x.replicas[name]; ok || name == "" {
+		return name
+	}
+	for id, r := range x.replicas {
+		if r.Address == name {
+			return id
+		}
+	}
+	return ""
+}
+
 // next moves on to another replica after one that got nothing.
 func (x *exchange) next(ctx context.Context, e *catkinspindle.Ending, replica string) *catkinspindle.Failure {
 	x.unsent++
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,6 +29,8 @@
 	body   string
 	// broken breaks the body off after its last byte; silent leaves it open.
 	broken, silent bool
+	// culprit is whom a refusal names.
+	culprit string
 }
 
 // world is a placer and the replicas behind it.
@@ -37,6 +39,8 @@
 	steps    []step
 	attempts []catkinspindle.Attempt
 	endings  []catkinspindle.Outcome
+	culprits []string
+	avoided  [][]string
 	refusal  *catkinspindle.Placement
 	placed   int
 	gone     chan struct{}
@@ -49,6 +53,7 @@
 		return *w.refusal
 	}
 	w.placed++
+	w.avoided = append(w.avoided, j.Avoid)
 	for _, id := range []string{"r1", "r2", "r3"} {
 		avoided := false
 		for _, a := range j.Avoid {
@@ -65,6 +70,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endings = append(w.endings, e.Outcome)
+	w.culprits = append(w.culprits, e.Culprit)
 }
 
 func (w *world) Send(ctx context.Context, _ catkinspindle.Envelope, a catkinspindle.Attempt, _ bool) (*catkinspindle.Answer, error) {
@@ -87,7 +93,7 @@
 		end = waiting{ctx, w.gone}
 	}
 	return &catkinspindle.Answer{
-		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
+		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, Culprit: s.culprit, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
 		Body:       io.NopCloser(io.MultiReader(strings.NewReader(s.body), end)),
 	}, nil
 }
@@ -142,7 +148,7 @@
 	}
 	list := map[string]catkinspindle.Replica{}
 	for _, id := range []string{"r1", "r2", "r3"} {
-		list[id] = catkinspindle.Replica{ID: id, Service: "s"}
+		list[id] = catkinspindle.Replica{ID: id, Service: "s", Address: "at-" + id}
 	}
 	v.SetReplicas(list, 1, time.Time{})
 	b := retries.New(catkinspindle.RetryAllowance{Window: 10 * time.Second, Floor: allowance}, 1)
@@ -233,6 +239,24 @@
 	}
 }
 
+// A refusal that names a helper by its address is the helper's: the placer hears
+// of it and the next attempt does without it.
+func TestRefusalNamesAHelper(t *testing.T) {
+	w := &world{steps: []step{{status: 503, notRun: true, culprit: "at-r3"}, okAnswer}}
+	_, server := serve(t, w, 9, true)
+	resp, _, err := ask(t, server, "/any/", "k", "")
+	server.Close()
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answer %v, error %v", resp, err)
+	}
+	if diff := cmp.Diff([]string{"r3", ""}, w.culprits); diff != "" {
+		t.Errorf("culprits (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([][]string{nil, {"r3", "r1"}}, w.avoided); diff != "" {
+		t.Errorf("replicas to avoid (-want +got):\n%s", diff)
+	}
+}
+
 func TestRefusalsBeforePlacing(t *testing.T) {
 	tests := map[string]struct {
 		path, key, body string
