Name all registered nodes until a coordinator is heard; show the platform's path in the demo

Cause: a node that had just started named itself alone to callers, so that after a restart of all nodes their callers met on the first ones. The stand-ins of the platform move under platform/, whose words they speak. Test: fleet.TestStartAlone asks for the addresses before any answer.

--- a/commands/node.go
+++ b/commands/node.go
@@ -68,6 +68,7 @@
 
 func demoCommand() *cobra.Command {
 	var level string
+	var onPlatform bool
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a small fleet in one process and show what callers see",
@@ -79,10 +80,14 @@
 			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), demoTimeout)
 			defer cancel()
+			if onPlatform {
+				return demo.RunSite(ctx, cmd.OutOrStdout(), log)
+			}
 			return demo.Run(ctx, cmd.OutOrStdout(), log)
 		},
 	}
 	cmd.Flags().StringVar(&level, "log-level", "error", "debug, info, warn or error")
+	cmd.Flags().BoolVar(&onPlatform, "platform", false, "run the nodes of the users' platform instead")
 	return cmd
 }
 
--- a/events/event.go
+++ b/events/event.go
@@ -21,11 +21,9 @@
 	NodeReloaded      Event = 1005
 	HubChanged        Event = 3003
 	FellowLost        Event = 3004
-	FellowSeen        Event = 3005
 	ReplicaChanged    Event = 4004
 	ReplicaFailed     Event = 4005
 	RequestEnded      Event = 5003
-	RequestPlaced     Event = 5004
 	LinesDropped      Event = 1006
 	PeerMalformed     Event = 3001
 	PeerUnreachable   Event = 3002
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,8 +7,10 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -245,9 +247,17 @@
 func (f *Fleet) Live() []catkinspindle.Fellow {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := make([]catkinspindle.Fellow, 0, len(f.live)+1)
+	live := f.live
+	if len(live) == 0 {
+		// No coordinator has been heard yet: whoever is registered counts.
+		for _, n := range f.known {
+			live = append(live, n.Fellow)
+		}
+		slices.SortFunc(live, func(a, b catkinspindle.Fellow) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	list := make([]catkinspindle.Fellow, 0, len(live)+1)
 	self := false
-	for _, n := range f.live {
+	for _, n := range live {
 		if known, ok := f.known[n.Name]; n.Leaving || (ok && known.Leaving) {
 			self = self || n.Name == f.self.Name
 			continue
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -313,6 +313,9 @@
 			net.setDown(fmt.Sprintf("peer-n%d", i), true)
 		}
 		time.Sleep(100 * time.Millisecond)
+		if diff := cmp.Diff([]string{"n0", "n1", "n2"}, names(nodes[2].Live())); diff != "" {
+			t.Errorf("addresses before any node was heard (-want +got):\n%s", diff)
+		}
 		if home, ok := nodes[2].Coordinator(); ok && home.Name == "n2" {
 			t.Error("the last node coordinates although it has not tried the others")
 		}
--- a/gatewaynode/site_test.go
+++ b/gatewaynode/site_test.go
@@ -12,9 +12,9 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/catkinspindle/catkinspindle/standin/replica"
-	"github.com/catkinspindle/catkinspindle/standin/site"
-	"github.com/catkinspindle/catkinspindle/standin/store"
+	"github.com/catkinspindle/catkinspindle/platform/standin/replica"
+	"github.com/catkinspindle/catkinspindle/platform/standin/site"
+	"github.com/catkinspindle/catkinspindle/platform/standin/store"
 )
 
 // patience bounds waits for what must happen; no verdict rests on how soon.
