--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -154,7 +154,9 @@
 	home, ok := c.home()
 	switch {
 	case j.Prompt == 0 || (ok && home.Name == c.self):
-		return c.planner.Place(now, j), false
+		p = c.planner.Place(now, j)
+		p.By = c.self
+		return p, false
 	case !ok:
 		return c.planner.PlaceAlone(now, j), true
 	}
@@ -165,6 +167,7 @@
 		c.suspect(home)
 		return c.planner.PlaceAlone(time.Now(), j), true
 	}
+	p.By = home.Name
 	if !p.Refused() {
 		c.planner.Adopt(now, j, p, 0)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -61,6 +61,8 @@
 	model   string
 	replica string
 	placing time.Duration
+	// placedBy is the node that placed the last attempt.
+	placedBy string
 	// spent is the time that the caller has waited in earlier attempts.
 	spent time.Duration
 	// expected is the placer's estimate of the time to the first event.
@@ -163,6 +165,7 @@
 		DataCentre: x.gateway.dataCentre,
 	})
 	x.placing += time.Since(now)
+	x.placedBy, x.expected, x.helping, x.delay = p.By, p.First, len(p.Helpers), p.Delay
 	return p
 }
 
@@ -173,7 +176,6 @@
 	began := time.Now()
 	e := catkinspindle.Ending{Job: p.Job, Replica: p.Replica}
 	x.replica = p.Replica
-	x.expected, x.helping, x.delay = p.First, len(p.Helpers), p.Delay
 	x.replicas = g.view.State().Replicas
 	replica, ok := x.replicas[p.Replica]
 	if !ok || replica.Service != x.service || replica.Leaving {
@@ -474,8 +476,8 @@
 	x.measure(f, total)
 	attrs := []any{
 		events.RequestEnded.Attr(), "request", x.envelope.ID, "route", x.route.Name, "workspace", x.workspace,
-		"status", x.status, "total", total, "first", x.first, "expected-first", x.expected, "longest-pause", x.pause, "helpers", x.helping, "delay", x.delay, "placing", x.placing, "waits", x.envelope.Timeout, "spent", x.spent, "attempts", x.sent, "replica", x.replica,
-		"prompt-tokens", x.envelope.PromptTokens, "version", x.version,
+		"status", x.status, "total", total, "first", x.first, "expected-first", x.expected, "longest-pause", x.pause, "helpers", x.helping, "delay", x.delay, "placing", x.placing, "placed-by", x.placedBy, "waits", x.envelope.Timeout, "spent", x.spent, "attempts", x.sent, "replica", x.replica,
+		"prompt-tokens", x.envelope.PromptTokens, "version", x.version, "replicas-revision", x.gateway.view.State().ReplicasRevision,
 	}
 	if f == nil {
 		g.log.Info("request answered", attrs...)
--- a/placement.go
+++ b/placement.go
@@ -46,6 +46,8 @@
 	Urgency int `cbor:"5,keyasint"`
 	// RetryAfter is set instead of a replica when the job is refused.
 	RetryAfter time.Duration `cbor:"6,keyasint"`
+	// By is the node whose ledger decided; empty when this node placed alone.
+	By string `cbor:"10,keyasint,omitempty"`
 	// Reason says why the job was refused.
 	Reason Reason `cbor:"7,keyasint,omitempty"`
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -135,7 +135,7 @@
 	defer p.mu.Unlock()
 	usable := p.usable(now, j)
 	if len(usable) == 0 {
-		return refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry)
+		return refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry, 0)
 	}
 	model := p.services[j.Service]
 	if model == nil || j.Prompt == 0 {
@@ -152,7 +152,7 @@
 	defer p.mu.Unlock()
 	usable := p.usable(now, j)
 	if len(usable) == 0 {
-		return refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry)
+		return refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry, 0)
 	}
 	model := p.services[j.Service]
 	if model == nil || j.Prompt == 0 {
@@ -167,14 +167,15 @@
 		o.part /= time.Duration(k + 1)
 	}
 	if !p.fits(*model, o.replica, j) && !p.spreadMemory(o, *model) {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0))
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0)
 	}
 	o.first = o.part + 2*passTime(*model, o.replica)
 	return p.commit(now, o, urgencyShort)
 }
 
-func refuse(j catkinspindle.Job, reason catkinspindle.Reason, after time.Duration) catkinspindle.Placement {
-	return catkinspindle.Placement{Job: j.ID, Reason: reason, RetryAfter: after}
+// refuse refuses j. first is the estimate that decided, or zero.
+func refuse(j catkinspindle.Job, reason catkinspindle.Reason, after, first time.Duration) catkinspindle.Placement {
+	return catkinspindle.Placement{Job: j.ID, Reason: reason, RetryAfter: after, First: first}
 }
 
 // expire drops jobs whose time is over: their ending was lost.
@@ -224,7 +225,7 @@
 	})
 	wait := time.Duration(float64(len(best.jobs)) / float64(max(1, best.Slots)) * float64(best.usual))
 	if best.usual > 0 && wait > j.Left {
-		return refuse(j, catkinspindle.ReasonOverload, wait-j.Left+best.usual)
+		return refuse(j, catkinspindle.ReasonOverload, wait-j.Left+best.usual, wait)
 	}
 	return p.commit(now, &open{job: j, replica: best, placed: now, first: wait + best.usual}, 0)
 }
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -58,7 +58,7 @@
 		best, expected = p.chooseLeast(now, usable, j, m, read)
 	}
 	if p.tooLate(j, expected) {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected))
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected), expected)
 	}
 	o := &open{job: j, replica: best, placed: now, first: expected, part: read, helpers: p.leastAhead(now, usable, best, k-1)}
 	return p.commit(now, o, urgencyShort)
@@ -169,12 +169,12 @@
 func (p *Planner) placeLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
 	best, ok := p.bestGang(now, j, m, usable)
 	if !ok {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0))
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0)
 	}
 	// One that is late even on idle replicas gains nothing by coming back.
 	idle := best.part + passTime(m, best.host)*3/2 + p.policy.IdleWait
 	if best.first > min(j.Left, max(p.longLimit(j), idle)) {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first))
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first), best.first)
 	}
 	o := &open{job: j, replica: best.host, helpers: best.helpers, placed: now, start: best.start.Add(-p.policy.Lead), first: best.first, part: best.part}
 	if best.part <= p.policy.JumpPart {
@@ -183,7 +183,7 @@
 		o.start = now
 	}
 	if !p.fits(m, best.host, j) && !p.spreadMemory(o, m) {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first))
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first), best.first)
 	}
 	return p.commit(now, o, urgencyLong)
 }
