--- a/placement/planner.go
+++ b/placement/planner.go
@@ -162,9 +162,12 @@
 	slices.SortStableFunc(usable, func(a, b *replica) int { return cmp.Compare(len(a.jobs), len(b.jobs)) })
 	o := &open{job: j, replica: usable[0], placed: now, start: now, part: readTime(*model, j.Prompt)}
 	if j.MaxPause > p.policy.ShortPause {
-		k := min(len(usable)-1, p.policy.AloneHelpers)
-		o.helpers = slices.Clone(usable[1 : 1+k])
-		o.part /= time.Duration(k + 1)
+		for _, r := range usable[1:] {
+			if len(o.helpers) < p.policy.AloneHelpers && !r.health.probation {
+				o.helpers = append(o.helpers, r)
+			}
+		}
+		o.part /= time.Duration(len(o.helpers) + 1)
 	}
 	if !p.fits(*model, o.replica, j) && !p.spreadMemory(o, *model) {
 		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0)
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -236,6 +237,32 @@
 	}
 }
 
+// A replica on probation may cost one job its time, but not all long prompts:
+// it helps nobody until it has answered.
+func TestNoHelperOnProbation(t *testing.T) {
+	p := planner(6)
+	p.End(start, catkinspindle.Ending{Replica: "r03", Outcome: catkinspindle.OutcomeUnreachable})
+	got := p.Place(start.Add(5*time.Second), long(1, 150_000))
+	if slices.Contains(got.Helpers, "r03") {
+		t.Errorf("helpers %v include the suspected replica", got.Helpers)
+	}
+}
+
+// A prompt of middle length is read in small parts also by replicas that write
+// short answers: in a burst of these there are no others.
+func TestSmallPartsAreReadEverywhere(t *testing.T) {
+	p := planner(21)
+	for i := range 21 * 12 {
+		p.Place(start.Add(time.Duration(i)*5*time.Millisecond), short(i))
+	}
+	now := start.Add(21*12*5*time.Millisecond + 500*time.Millisecond)
+	j := long(1000, 45_000)
+	j.Aim, j.MaxPause = 1500*time.Millisecond, 600*time.Millisecond
+	if got := p.Place(now, j); got.Refused() || got.First > j.Aim {
+		t.Errorf("refused: %t, first event after %v", got.Refused(), got.First)
+	}
+}
+
 // Without the coordinator, nodes that know nothing of each other must not all
 // choose the same replica.
 func TestPlacingAloneSpreads(t *testing.T) {
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -72,7 +72,7 @@
 	ahead := map[*replica]time.Duration{}
 	list := make([]*replica, 0, len(usable))
 	for _, r := range usable {
-		if r != host {
+		if r != host && !r.health.probation {
 			ahead[r], _ = r.sent(now)
 			list = append(list, r)
 		}
@@ -235,10 +235,14 @@
 func (p *Planner) gang(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, part time.Duration, k int) (gang, bool) {
 	free := make([]*replica, 0, len(usable))
 	at := make(map[*replica]time.Time, len(usable))
-	for _, r := range usable[p.reserved(usable):] {
+	reserved := p.reserved(usable)
+	for i, r := range usable {
+		if r.health.probation {
+			continue
+		}
 		begin := r.begin(now)
 		if !p.bears(now, m, r, part) {
-			if r.short(p.policy.ShortPause) == 0 {
+			if i < reserved || r.short(p.policy.ShortPause) == 0 {
 				continue
 			}
 			// Short jobs keep away from a replica that is to read a long part.
