End a silent attempt only once another replica has the request; refuse from 3 s after a stop

Ruled out: a late signal; the stop began at once. Change: new requests are refused as not run from 3 s on (an address answer lives 1 s, so that the last who hold one come by then), the drain lasts to 0.92 of the grace, the registration is removed meanwhile. Change: silence ends an attempt only when another replica has been found. Tests: gateway.TestSilentReplica (fails before: the stream is cut after 1.2 s).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -45,6 +47,9 @@
 	replicas  map[string]catkinspindle.Replica
 	held      int64
 
+	mu sync.Mutex
+	// secured is where the request goes when the present replica stays silent.
+	secured *catkinspindle.Placement
 	// sent counts replicas that the request was written to, unsent those that
 	// could not be reached.
 	sent   int
@@ -84,14 +89,20 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.last = x.envelope.AfterEvent
+	defer x.stay()
 	for {
 		if f := x.over(ctx); f != nil {
 			return f
 		}
-		if x.sent > 0 && !g.budget.Repeat(time.Now(), x.service) {
-			return x.fail(catkinspindle.ReasonBackendFailed, "the budget of repeats is used up")
+		p, ok := x.takeSecured()
+		if ok {
+			x.note(p)
+		} else {
+			if x.sent > 0 && !g.budget.Repeat(time.Now(), x.service) {
+				return x.fail(catkinspindle.ReasonBackendFailed, "the budget of repeats is used up")
+			}
+			p = x.place(ctx, x.avoid)
 		}
-		p := x.place(ctx)
 		if f := x.over(ctx); f != nil {
 			if !p.Refused() {
 				g.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
@@ -149,9 +160,60 @@
 	return f.WithRetryAfter(max(minRefusal, p.RetryAfter))
 }
 
-func (x *exchange) place(ctx context.Context) catkinspindle.Placement {
+// secure finds another replica for a request whose present one is silent. sent
+// counts the attempts with this one; avoid names the replicas tried.
+func (x *exchange) secure(ctx context.Context, sent int, avoid []string) bool {
+	if x.route.Repeat == catkinspindle.RepeatNever || sent >= x.route.MaxAttempts {
+		return false
+	}
+	if !x.gateway.budget.Repeat(time.Now(), x.service) {
+		return false
+	}
+	p := x.job(ctx, avoid, true)
+	if p.Refused() {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.secured = &p
+	return true
+}
+
+// takeSecured returns the placement that secure has found.
+func (x *exchange) takeSecured() (catkinspindle.Placement, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.secured == nil {
+		return catkinspindle.Placement{}, false
+	}
+	p := *x.secured
+	x.secured = nil
+	return p, true
+}
+
+// stay gives back a placement that secure has found and nobody needs.
+func (x *exchange) stay() {
+	if p, ok := x.takeSecured(); ok {
+		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+	}
+}
+
+func (x *exchange) note(p catkinspindle.Placement) {
+	x.placedBy, x.expected, x.helping, x.delay = p.By, p.First, len(p.Helpers), p.Delay
+}
+
+func (x *exchange) place(ctx context.Context, avoid []string) catkinspindle.Placement {
+	now := time.Now()
+	p := x.job(ctx, avoid, x.sent > 0)
+	x.placing += time.Since(now)
+	x.note(p)
+	return p
+}
+
+// job has the request placed.
+func (x *exchange) job(ctx context.Context, avoid []string, again bool) catkinspindle.Placement {
 	now := time.Now()
-	p := x.gateway.placer.Place(ctx, catkinspindle.Job{
+	return x.gateway.placer.Place(ctx, catkinspindle.Job{
 		Service:    x.service,
 		Prompt:     x.envelope.PromptTokens,
 		Answer:     x.envelope.AnswerTokens,
@@ -160,13 +222,10 @@
 		Returned:   x.spent > 0,
 		MaxPause:   x.route.MaxPause,
 		Priority:   x.priority,
-		Avoid:      x.avoid,
-		Again:      x.sent > 0,
+		Avoid:      avoid,
+		Again:      again,
 		DataCentre: x.gateway.dataCentre,
 	})
-	x.placing += time.Since(now)
-	x.placedBy, x.expected, x.helping, x.delay = p.By, p.First, len(p.Helpers), p.Delay
-	return p
 }
 
 // attempt sends the request to the placed replica. done is true when the
@@ -202,7 +261,8 @@
 		return false, x.next(ctx, &e, culprit)
 	}
 	defer release()
-	attemptCtx, stall := newStall(ctx, x.stallLimit(p))
+	sent, avoid := x.sent+1, append(slices.Clone(x.avoid), p.Replica)
+	attemptCtx, stall := newStall(ctx, x.stallLimit(p), func() bool { return x.secure(ctx, sent, avoid) }, x.stay)
 	defer stall.stop()
 	answer, err := g.sender.Send(attemptCtx, x.envelope, catkinspindle.Attempt{
 		Replica:    replica,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -124,6 +124,15 @@
 	route := func(prefix string, repeat catkinspindle.Repeat, streaming bool, attempts int) catkinspindle.Route {
 		return catkinspindle.Route{Name: prefix, Host: "h.example", Prefix: prefix, Repeat: repeat, Streaming: streaming, MaxAttempts: attempts, Timeout: 20 * time.Second, Aim: 10 * time.Second, MaxPause: 10 * time.Second, Targets: target}
 	}
+	quick := func(r catkinspindle.Route) catkinspindle.Route {
+		r.Timeout, r.Aim, r.MaxPause = 60*time.Second, 100*time.Millisecond, 100*time.Millisecond
+		return r
+	}
+	short := func(r catkinspindle.Route) catkinspindle.Route {
+		r = quick(r)
+		r.Timeout = 2 * time.Second
+		return r
+	}
 	open := route("/open/", catkinspindle.RepeatAnytime, false, 2)
 	open.Public = true
 	brief := route("/brief/", catkinspindle.RepeatAnytime, false, 2)
@@ -133,6 +142,7 @@
 		Routes: []catkinspindle.Route{
 			route("/once/", catkinspindle.RepeatNever, false, 1), route("/any/", catkinspindle.RepeatAnytime, false, 2),
 			route("/stream/", catkinspindle.RepeatResume, true, 2), open, brief,
+			quick(route("/quick/", catkinspindle.RepeatResume, true, 2)), short(route("/short-once/", catkinspindle.RepeatNever, false, 1)), short(route("/short/", catkinspindle.RepeatResume, true, 2)), quick(route("/quick-any/", catkinspindle.RepeatAnytime, false, 2)),
 		},
 		Services:   []catkinspindle.ReplicaService{{Name: "s"}},
 		Limits:     catkinspindle.TrafficLimits{MaxBody: 1000},
@@ -239,6 +249,39 @@
 	}
 }
 
+// The silence of a replica ends an answer only when another one goes on with it.
+func TestSilentReplica(t *testing.T) {
+	tests := map[string]struct {
+		path     string
+		budget   float64
+		status   int
+		attempts int
+	}{
+		"resumed elsewhere":       {"/quick/", 9, 200, 2},
+		"nowhere else to go":      {"/short/", 0, 0, 1},
+		"may run once only":       {"/short-once/", 9, 504, 1},
+		"repeated without events": {"/quick-any/", 9, 200, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{steps: []step{{status: 200, body: "id: 1\ndata: a\n\n", silent: true}, {status: 200, body: "id: 2\ndata: b\n\n"}}}
+			_, server := serve(t, w, tt.budget, true)
+			resp, body, err := ask(t, server, tt.path, "k", "")
+			server.Close()
+			if tt.status == 0 {
+				if err == nil || body != "id: 1\ndata: a\n\n" {
+					t.Errorf("body %q, error %v; want the first event and a cut at the time-out", body, err)
+				}
+			} else if err != nil || resp.StatusCode != tt.status {
+				t.Errorf("answer %v, error %v; want status %d", resp, err, tt.status)
+			}
+			if diff := cmp.Diff(tt.attempts, len(w.attempts)); diff != "" {
+				t.Errorf("attempts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A refusal that names a helper by its address is the helper's: the placer hears
 // of it and the next attempt does without it.
 func TestRefusalNamesAHelper(t *testing.T) {
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -3,28 +3,73 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 )
 
 var errStalled = errors.New("the replica is silent")
 
-// stall ends a context when nothing has happened for a time.
+// stall watches an attempt for silence. Silence alone does not end an answer:
+// the attempt is given up only once another replica has been found for it.
 type stall struct {
-	timer  *time.Timer
 	limit  time.Duration
 	cancel context.CancelCauseFunc
+	// move finds another replica and reports whether there is one; stay takes
+	// that back.
+	move func() bool
+	stay func()
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	signs   int
+	stopped bool
 }
 
-func newStall(ctx context.Context, limit time.Duration) (context.Context, *stall) {
+func newStall(ctx context.Context, limit time.Duration, move func() bool, stay func()) (context.Context, *stall) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &stall{limit: limit, cancel: cancel}
-	s.timer = time.AfterFunc(limit, func() { cancel(errStalled) })
+	s := &stall{limit: limit, cancel: cancel, move: move, stay: stay}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(limit, s.expire)
 	return ctx, s
 }
 
-func (s *stall) reset() { s.timer.Reset(s.limit) }
+func (s *stall) expire() {
+	s.mu.Lock()
+	signs, stopped := s.signs, s.stopped
+	s.mu.Unlock()
+	if stopped {
+		return
+	}
+	found := s.move()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case found && !s.stopped && signs == s.signs:
+		s.cancel(errStalled)
+		return
+	case found:
+		s.stay()
+	}
+	if !s.stopped {
+		s.timer.Reset(s.limit)
+	}
+}
+
+// reset notes a sign of life.
+func (s *stall) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signs++
+	if !s.stopped {
+		s.timer.Reset(s.limit)
+	}
+}
 
 func (s *stall) stop() {
+	s.mu.Lock()
+	s.stopped = true
 	s.timer.Stop()
+	s.mu.Unlock()
 	s.cancel(nil)
 }
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -33,7 +33,7 @@
 const (
 	// lifetime is how long callers may keep an address answer. Some keep it
 	// three times as long, which must fit into the time of a planned stop.
-	lifetime = 1500 * time.Millisecond
+	lifetime = time.Second
 	// joinRetry is the pause after a failed call on the way into the fleet.
 	joinRetry = 250 * time.Millisecond
 	// heldShare is the part of the VM's memory that bodies may take.
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -13,10 +13,13 @@
 // ended before the kill.
 const (
 	// acceptShare: until then new requests are served, because callers keep an
-	// address answer for up to three lifetimes.
-	acceptShare = 0.62
+	// address answer for up to three lifetimes. What comes later could not be
+	// sure to end in time and is refused as not run.
+	acceptShare = 0.375
 	// drainShare: until then requests in flight may end.
-	drainShare = 0.86
+	drainShare = 0.92
+	// unregisterTimeout bounds the removal of the registration.
+	unregisterTimeout = 300 * time.Millisecond
 	// drainPoll is the interval at which requests in flight are counted.
 	drainPoll = 50 * time.Millisecond
 )
@@ -34,16 +37,12 @@
 	n.gateway.CloseConnections()
 	n.until(ctx, began.Add(time.Duration(acceptShare*float64(grace))), nil)
 	n.gateway.Refuse()
+	if n.isJoined() {
+		n.unregister(ctx)
+	}
 	n.until(ctx, began.Add(time.Duration(drainShare*float64(grace))), func() bool { return n.gateway.InFlight() == 0 })
 	left := n.gateway.InFlight()
 	var errs []error
-	if n.isJoined() {
-		removeCtx, cancel := context.WithTimeout(ctx, drainPoll*4)
-		if err := n.store.Remove(removeCtx, platform.NodesKind, n.self.Name); err != nil {
-			n.log.Warn("registration not removed", events.PlatformFailed.Attr(), "error", err)
-		}
-		cancel()
-	}
 	errs = append(errs, n.listeners.Stop(ctx))
 	n.cancel()
 	if n.isJoined() {
@@ -53,6 +52,16 @@
 	return errors.Join(errs...)
 }
 
+// unregister removes the node's registration; one that stays is taken for a dead
+// node by the others.
+func (n *Node) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, unregisterTimeout)
+	defer cancel()
+	if err := n.store.Remove(ctx, platform.NodesKind, n.self.Name); err != nil {
+		n.log.Warn("registration not removed", events.PlatformFailed.Attr(), "error", err)
+	}
+}
+
 // until waits for a time or, when it is given, a condition.
 func (n *Node) until(ctx context.Context, end time.Time, done func() bool) {
 	ticker := time.NewTicker(drainPoll)
