--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,6 +29,9 @@
 	body   string
 	// broken breaks the body off after its last byte; silent leaves it open.
 	broken, silent bool
+	// rest comes after a silence of so long.
+	rest    string
+	silence time.Duration
 	// culprit is whom a refusal names.
 	culprit string
 }
@@ -92,6 +95,9 @@
 	if s.silent {
 		end = waiting{ctx, w.gone}
 	}
+	if s.rest != "" {
+		end = io.MultiReader(&sleeping{s.silence}, strings.NewReader(s.rest))
+	}
 	return &catkinspindle.Answer{
 		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, Culprit: s.culprit, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
 		Body:       io.NopCloser(io.MultiReader(strings.NewReader(s.body), end)),
@@ -106,6 +112,15 @@
 
 func (f failing) Read([]byte) (int, error) { return 0, f.err }
 
+// sleeping is an empty part of a body that takes its time.
+type sleeping struct{ left time.Duration }
+
+func (s *sleeping) Read([]byte) (int, error) {
+	time.Sleep(s.left)
+	s.left = 0
+	return 0, io.EOF
+}
+
 type waiting struct {
 	ctx  context.Context
 	gone chan struct{}
@@ -282,6 +297,18 @@
 	}
 }
 
+// A replica that is silent for a while and then goes on is not cut when nobody
+// else could take over.
+func TestSilentReplicaGoesOn(t *testing.T) {
+	w := &world{steps: []step{{status: 200, body: "id: 1\ndata: a\n\n", rest: "id: 2\ndata: b\n\n", silence: 1700 * time.Millisecond}}}
+	_, server := serve(t, w, 0, true)
+	resp, body, err := ask(t, server, "/quick/", "k", "")
+	server.Close()
+	if err != nil || resp.StatusCode != 200 || body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
+
 // A refusal that names a helper by its address is the helper's: the placer hears
 // of it and the next attempt does without it.
 func TestRefusalNamesAHelper(t *testing.T) {
