--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -96,7 +96,7 @@
 		end = waiting{ctx, w.gone}
 	}
 	if s.rest != "" {
-		end = io.MultiReader(&sleeping{s.silence}, strings.NewReader(s.rest))
+		end = io.MultiReader(sleeping{ctx, s.silence}, strings.NewReader(s.rest))
 	}
 	return &catkinspindle.Answer{
 		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, Culprit: s.culprit, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
@@ -112,13 +112,20 @@
 
 func (f failing) Read([]byte) (int, error) { return 0, f.err }
 
-// sleeping is an empty part of a body that takes its time.
-type sleeping struct{ left time.Duration }
+// sleeping is an empty part of a body that takes its time and fails when the
+// attempt is given up meanwhile.
+type sleeping struct {
+	ctx  context.Context
+	left time.Duration
+}
 
-func (s *sleeping) Read([]byte) (int, error) {
-	time.Sleep(s.left)
-	s.left = 0
-	return 0, io.EOF
+func (s sleeping) Read([]byte) (int, error) {
+	select {
+	case <-time.After(s.left):
+		return 0, io.EOF
+	case <-s.ctx.Done():
+		return 0, s.ctx.Err()
+	}
 }
 
 type waiting struct {
