--- /dev/null
+++ b/addresses/answerer_test.go
@@ -0,0 +1,61 @@
+package addresses_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/addresses"
+)
+
+func answer(nodes int, ready bool) *addresses.Answerer {
+	live := func() []catkinspindle.Fellow {
+		var list []catkinspindle.Fellow
+		for i := range nodes {
+			list = append(list, catkinspindle.Fellow{CallersAddress: fmt.Sprintf("a%d", i)})
+		}
+		return append(list, catkinspindle.Fellow{Name: "without an address"})
+	}
+	encode := func(list []string, lifetime time.Duration) ([]byte, error) {
+		return []byte(strings.Join(list, " ") + " " + lifetime.String()), nil
+	}
+	return addresses.New(live, func() bool { return ready }, time.Second, encode)
+}
+
+func TestAddresses(t *testing.T) {
+	tests := map[string]struct {
+		nodes, status, count int
+	}{
+		"some": {3, 200, 3},
+		"many": {80, 200, 64},
+		"none": {0, 503, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			answer(tt.nodes, true).Addresses(w, httptest.NewRequest(http.MethodGet, "/", nil))
+			if diff := cmp.Diff(tt.status, w.Code); diff != "" {
+				t.Fatalf("status (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.count, strings.Count(w.Body.String(), "a")); tt.status == 200 && diff != "" {
+				t.Errorf("addresses (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestReady(t *testing.T) {
+	for ready, want := range map[bool]int{true: 200, false: 503} {
+		w := httptest.NewRecorder()
+		answer(1, ready).Ready(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		if diff := cmp.Diff(want, w.Code); diff != "" {
+			t.Errorf("status when ready is %t (-want +got):\n%s", ready, diff)
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,178 @@
+package coordinator_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/coordinator"
+	"github.com/catkinspindle/catkinspindle/placement"
+)
+
+var (
+	errSilent = errors.New("no answer")
+	self      = catkinspindle.Fellow{Name: "n1", Incarnation: 1, PeerAddress: "p1"}
+	home      = catkinspindle.Fellow{Name: "n0", Incarnation: 1, PeerAddress: "p0"}
+)
+
+// link connects a node with the coordinator.
+type link struct {
+	mu       sync.Mutex
+	handlers map[string]catkinspindle.PeerHandler
+	other    *link
+	silent   bool
+}
+
+func (l *link) Handle(kind string, h catkinspindle.PeerHandler) { l.handlers[kind] = h }
+
+func (l *link) Call(ctx context.Context, _, kind string, req, resp any) error {
+	l.mu.Lock()
+	silent := l.silent
+	l.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return errSilent
+	}
+	data, err := cbor.Marshal(req)
+	if err != nil {
+		return err
+	}
+	v, err := l.other.handlers[kind](ctx, func(v any) error { return cbor.Unmarshal(data, v) })
+	if err != nil || resp == nil {
+		return err
+	}
+	if data, err = cbor.Marshal(v); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, resp)
+}
+
+func (l *link) setSilent(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = on
+}
+
+func newPlanner() *placement.Planner {
+	p := placement.New(placement.WithSeed(1))
+	p.SetServices([]catkinspindle.ReplicaService{{Name: "s", Engine: &catkinspindle.EngineModel{Slots: 8, Memory: 100_000, Stride: 51, Step: time.Millisecond, ReadRate: 177_000}}})
+	p.SetReplicas(map[string]catkinspindle.Replica{"r1": {ID: "r1", Service: "s"}, "r2": {ID: "r2", Service: "s"}})
+	return p
+}
+
+func jobs(p *placement.Planner) int {
+	n := 0
+	for _, l := range p.Loads(time.Now()) {
+		n += l.Jobs
+	}
+	return n
+}
+
+type pair struct {
+	node      *coordinator.Coordinator
+	link      *link
+	ledger    *placement.Planner
+	suspected int
+	stop      func()
+}
+
+func start(t *testing.T) *pair {
+	t.Helper()
+	a, b := &link{handlers: map[string]catkinspindle.PeerHandler{}}, &link{handlers: map[string]catkinspindle.PeerHandler{}}
+	a.other, b.other = b, a
+	p := &pair{link: b, ledger: newPlanner()}
+	at := func() (catkinspindle.Fellow, bool) { return home, true }
+	log := slog.New(slog.DiscardHandler)
+	first := coordinator.New(home, p.ledger, a, at, func(catkinspindle.Fellow) {}, log)
+	p.node = coordinator.New(self, newPlanner(), b, at, func(catkinspindle.Fellow) { p.suspected++ }, log)
+	for _, c := range []*coordinator.Coordinator{first, p.node} {
+		if err := c.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.stop = func() {
+		if err := errors.Join(first.Stop(context.Background()), p.node.Stop(context.Background())); err != nil {
+			t.Error(err)
+		}
+	}
+	return p
+}
+
+func job() catkinspindle.Job {
+	return catkinspindle.Job{Service: "s", Prompt: 5000, Answer: 100, Left: 10 * time.Second, Aim: time.Second, MaxPause: 250 * time.Millisecond}
+}
+
+// The coordinator's ledger knows what the node has open, and that it has ended.
+func TestPlacingThroughTheCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := start(t)
+		defer p.stop()
+		got := p.node.Place(context.Background(), job())
+		if got.Refused() || got.By != "n0" {
+			t.Fatalf("placement %+v", got)
+		}
+		if diff := cmp.Diff(1, jobs(p.ledger)); diff != "" {
+			t.Errorf("jobs at the coordinator (-want +got):\n%s", diff)
+		}
+		p.node.End(catkinspindle.Ending{Job: got.Job, Replica: got.Replica})
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(0, jobs(p.ledger)); diff != "" {
+			t.Errorf("jobs after the end (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A silent coordinator holds no request up for long; it hears of what was
+// placed without it, and of endings, when it answers again.
+func TestSilentCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := start(t)
+		defer p.stop()
+		before := p.node.Place(context.Background(), job())
+		p.link.setSilent(true)
+		began := time.Now()
+		alone := p.node.Place(context.Background(), job())
+		if took := time.Since(began); alone.Refused() || alone.By != "" || took > 150*time.Millisecond {
+			t.Errorf("placement %+v after %v", alone, took)
+		}
+		if p.suspected != 1 {
+			t.Errorf("suspected %d times", p.suspected)
+		}
+		p.node.End(catkinspindle.Ending{Job: before.Job, Replica: before.Replica})
+		time.Sleep(2 * time.Second)
+		p.link.setSilent(false)
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(1, jobs(p.ledger)); diff != "" {
+			t.Errorf("jobs at the coordinator: the one placed alone (-want +got):\n%s", diff)
+		}
+		p.node.End(catkinspindle.Ending{Job: alone.Job, Replica: alone.Replica})
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(0, jobs(p.ledger)); diff != "" {
+			t.Errorf("jobs after all endings (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A new coordinator hears of everything that is open.
+func TestAnnounce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := start(t)
+		defer p.stop()
+		got := p.node.Place(context.Background(), job())
+		p.ledger.Forget("")
+		p.node.Announce()
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(1, jobs(p.ledger)); diff != "" {
+			t.Errorf("jobs after the announcement (-want +got):\n%s", diff)
+		}
+		p.node.End(catkinspindle.Ending{Job: got.Job, Replica: got.Replica})
+	})
+}
--- /dev/null
+++ b/peers/fleet_test.go
@@ -0,0 +1,98 @@
+package peers_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle/keys"
+	"github.com/catkinspindle/catkinspindle/peers"
+)
+
+func startWithSeed(t *testing.T, address string, seed byte, answer string) *peers.Transport {
+	t.Helper()
+	config, err := keys.FleetTLS(bytes.Repeat([]byte{seed}, keys.SeedSize), peers.Protocol)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The socket of a transport that has stopped is free a little later.
+	for tries := 0; ; tries++ {
+		p := peers.NewWithTLS(address, config, slog.New(slog.DiscardHandler))
+		p.Handle("name", func(context.Context, func(any) error) (any, error) { return answer, nil })
+		err := p.Start(context.Background())
+		if err == nil {
+			return p
+		}
+		if tries == 200 {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func name(p *peers.Transport, address string, limit time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var got string
+	err := p.Call(ctx, address, "name", nil, &got)
+	return got, err
+}
+
+func stop(t *testing.T, p *peers.Transport) {
+	t.Helper()
+	if err := p.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+// Who does not hold the secret of the fleet is not heard, either way.
+func TestOnlyTheFleetIsHeard(t *testing.T) {
+	address := freeAddress(t)
+	server := startWithSeed(t, address, 1, "server")
+	defer stop(t, server)
+	friend := startWithSeed(t, freeAddress(t), 1, "friend")
+	defer stop(t, friend)
+	stranger := startWithSeed(t, freeAddress(t), 2, "stranger")
+	defer stop(t, stranger)
+	if got, err := name(friend, address, 10*time.Second); err != nil || got != "server" {
+		t.Errorf("answer %q, error %v", got, err)
+	}
+	if got, err := name(stranger, address, 10*time.Second); err == nil {
+		t.Errorf("a stranger got the answer %q", got)
+	}
+}
+
+// A peer that was restarted at its address is reached again after one call that
+// gets no answer, long before the old connection counts as idle.
+func TestRestartedPeerIsReachedAgain(t *testing.T) {
+	address := freeAddress(t)
+	old := startWithSeed(t, address, 1, "old")
+	caller := startWithSeed(t, freeAddress(t), 1, "caller")
+	defer stop(t, caller)
+	if _, err := name(caller, address, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	stop(t, old)
+	fresh := startWithSeed(t, address, 1, "new")
+	defer stop(t, fresh)
+	var got string
+	var err error
+	for range 20 {
+		if got, err = name(caller, address, time.Second); err == nil {
+			break
+		}
+	}
+	if diff := cmp.Diff("new", got); diff != "" {
+		t.Errorf("answer, error %v (-want +got):\n%s", err, diff)
+	}
+}
+
+func TestBadSeed(t *testing.T) {
+	if _, err := keys.FleetTLS([]byte("short"), peers.Protocol); err == nil {
+		t.Error("a short secret is accepted")
+	}
+}
