--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/eventstream"
+)
+
+// plain forwards an answer that is no stream.
+func (x *exchange) plain(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, e *catkinspindle.Ending, began time.Time) (bool, *catkinspindle.Failure) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlain+1))
+	if err == nil && len(body) > maxPlain {
+		err = errors.New("answer is too large")
+	}
+	if err != nil {
+		x.logAttempt(p, "broken", err)
+		return false, x.retry(ctx, e, p.Replica)
+	}
+	e.First = time.Since(began)
+	if answer.Status >= http.StatusInternalServerError {
+		x.logAttempt(p, "failed with status "+strconv.Itoa(answer.Status), nil)
+		if x.route.Repeat != catkinspindle.RepeatNever && x.retry(ctx, e, p.Replica) == nil && !x.started {
+			return false, nil
+		}
+		if x.started {
+			return false, x.fail(catkinspindle.ReasonBackendFailed, "the replica could not go on")
+		}
+	} else {
+		e.Outcome = catkinspindle.OutcomeDone
+	}
+	if x.started {
+		return false, x.fail(catkinspindle.ReasonBackendFailed, "the answer to a resumed stream is no stream")
+	}
+	x.first = time.Since(x.arrived)
+	x.head(answer)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(answer.Status)
+	if _, err := x.w.Write(body); err != nil {
+		return true, x.fail(reasonGone, "the caller has gone")
+	}
+	return true, nil
+}
+
+func (x *exchange) head(answer *catkinspindle.Answer) {
+	x.started = true
+	x.status = answer.Status
+	x.model = answer.Version
+	h := x.w.Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+}
+
+// stream forwards whole events as they come.
+func (x *exchange) stream(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, stall *stall, e *catkinspindle.Ending, began time.Time) (bool, *catkinspindle.Failure) {
+	reader := eventstream.New(answer.Body)
+	control := http.NewResponseController(x.w)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			e.Outcome = catkinspindle.OutcomeDone
+			if !x.started {
+				x.head(answer)
+				x.w.WriteHeader(answer.Status)
+			}
+			return true, nil
+		}
+		if err == nil {
+			err = x.follows(event)
+		}
+		if errors.Is(err, errPassed) {
+			continue
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				x.logAttempt(p, "stream broken after event "+x.last, err)
+			}
+			if f := x.retry(ctx, e, p.Replica); f != nil {
+				return false, f
+			}
+			if x.route.Repeat != catkinspindle.RepeatResume && x.started {
+				return false, x.fail(catkinspindle.ReasonBackendFailed, "the stream cannot be resumed")
+			}
+			return false, nil
+		}
+		stall.reset()
+		if e.First == 0 {
+			e.First = time.Since(began)
+		}
+		if !x.started {
+			x.first = time.Since(x.arrived)
+			x.head(answer)
+			x.w.WriteHeader(answer.Status)
+		}
+		err = control.SetWriteDeadline(time.Now().Add(callerStall))
+		if err == nil {
+			_, err = x.w.Write(event.Bytes)
+		}
+		if err == nil {
+			err = control.Flush()
+		}
+		if err != nil {
+			e.Outcome = catkinspindle.OutcomeGivenUp
+			return false, x.fail(reasonGone, "the caller has gone")
+		}
+		if event.ID != "" {
+			x.last = event.ID
+		}
+		now := time.Now()
+		if !x.eventAt.IsZero() {
+			x.pause = max(x.pause, now.Sub(x.eventAt))
+		}
+		x.eventAt = now
+	}
+}
+
+var (
+	errPassed = errors.New("event was passed on before")
+	errGap    = errors.New("events are missing")
+)
+
+// follows checks that an event is the one after the last that was passed on.
+func (x *exchange) follows(event eventstream.Event) error {
+	last, err := strconv.ParseInt(x.last, 10, 64)
+	if err != nil {
+		return nil
+	}
+	n, err := event.Number()
+	if err != nil {
+		return nil
+	}
+	if n <= last {
+		return errPassed
+	}
+	if n > last+1 {
+		return errGap
+	}
+	return nil
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,19 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/catkinspindle/catkinspindle"
-	"github.com/catkinspindle/catkinspindle/events"
-	"github.com/catkinspindle/catkinspindle/eventstream"
 	"github.com/catkinspindle/catkinspindle/reservations"
 )
 
@@ -122,22 +116,6 @@
 	}
 }
 
-// wait waits until the placed replicas have read what was placed before.
-func (x *exchange) wait(ctx context.Context, p catkinspindle.Placement) *catkinspindle.Failure {
-	if p.Delay <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(p.Delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
-		return x.over(ctx)
-	}
-}
-
 func (x *exchange) over(ctx context.Context) *catkinspindle.Failure {
 	if ctx.Err() == nil {
 		return nil
@@ -155,79 +133,6 @@
 	return catkinspindle.Fail(x.verdict, r, "%s", text).WithRetryAfter(minRefusal)
 }
 
-func (x *exchange) refused(p catkinspindle.Placement) *catkinspindle.Failure {
-	f := catkinspindle.Fail(x.verdict, p.Reason, "no replica can serve the request in time")
-	return f.WithRetryAfter(max(minRefusal, p.RetryAfter))
-}
-
-// secure finds another replica for a request whose present one is silent. sent
-// counts the attempts with this one; avoid names the replicas tried.
-func (x *exchange) secure(ctx context.Context, sent int, avoid []string) bool {
-	if x.route.Repeat == catkinspindle.RepeatNever || sent >= x.route.MaxAttempts {
-		return false
-	}
-	if !x.gateway.budget.Repeat(time.Now(), x.service) {
-		return false
-	}
-	p := x.job(ctx, avoid, true)
-	if p.Refused() {
-		return false
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.secured = &p
-	return true
-}
-
-// takeSecured returns the placement that secure has found.
-func (x *exchange) takeSecured() (catkinspindle.Placement, bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.secured == nil {
-		return catkinspindle.Placement{}, false
-	}
-	p := *x.secured
-	x.secured = nil
-	return p, true
-}
-
-// stay gives back a placement that secure has found and nobody needs.
-func (x *exchange) stay() {
-	if p, ok := x.takeSecured(); ok {
-		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
-	}
-}
-
-func (x *exchange) note(p catkinspindle.Placement) {
-	x.placedBy, x.expected, x.helping, x.delay = p.By, p.First, len(p.Helpers), p.Delay
-}
-
-func (x *exchange) place(ctx context.Context, avoid []string) catkinspindle.Placement {
-	now := time.Now()
-	p := x.job(ctx, avoid, x.sent > 0)
-	x.placing += time.Since(now)
-	x.note(p)
-	return p
-}
-
-// job has the request placed.
-func (x *exchange) job(ctx context.Context, avoid []string, again bool) catkinspindle.Placement {
-	now := time.Now()
-	return x.gateway.placer.Place(ctx, catkinspindle.Job{
-		Service:    x.service,
-		Prompt:     x.envelope.PromptTokens,
-		Answer:     x.envelope.AnswerTokens,
-		Left:       x.deadline.Sub(now),
-		Aim:        x.arrived.Add(x.route.Aim - x.spent).Sub(now),
-		Returned:   x.spent > 0,
-		MaxPause:   x.route.MaxPause,
-		Priority:   x.priority,
-		Avoid:      avoid,
-		Again:      again,
-		DataCentre: x.gateway.dataCentre,
-	})
-}
-
 // attempt sends the request to the placed replica. done is true when the
 // caller has its answer; otherwise a nil failure asks for another attempt.
 func (x *exchange) attempt(ctx context.Context, p catkinspindle.Placement) (done bool, f *catkinspindle.Failure) {
@@ -303,19 +208,6 @@
 	return x.plain(ctx, p, answer, &e, began)
 }
 
-// culprit returns the ID of the replica that an answer names by ID or address.
-func (x *exchange) culprit(name string) string {
-	if _, ok := x.replicas[name]; ok || name == "" {
-		return name
-	}
-	for id, r := range x.replicas {
-		if r.Address == name {
-			return id
-		}
-	}
-	return ""
-}
-
 // next moves on to another replica after one that got nothing.
 func (x *exchange) next(ctx context.Context, e *catkinspindle.Ending, replica string) *catkinspindle.Failure {
 	x.unsent++
@@ -344,232 +236,3 @@
 	}
 	return nil
 }
-
-// helpers returns the replicas that read parts, with the reservations that they
-// need.
-func (x *exchange) helpers(p catkinspindle.Placement) ([]catkinspindle.Helper, []catkinspindle.Reservation, error) {
-	var (
-		list  []catkinspindle.Helper
-		holds []catkinspindle.Reservation
-	)
-	for i, id := range p.Helpers {
-		r, ok := x.replicas[id]
-		if !ok || r.Service != x.service || r.Leaving {
-			if len(p.Holds) > 0 {
-				return nil, nil, &reservations.Failure{Replica: id, Err: errors.New("the replica is not known here")}
-			}
-			continue
-		}
-		h := catkinspindle.Helper{Address: r.Address}
-		if len(p.Holds) > i && p.Holds[i] > 0 {
-			h.Reservation = fmt.Sprintf("%s-%d", x.envelope.ID, x.tries)
-			holds = append(holds, catkinspindle.Reservation{ID: h.Reservation, Replica: r, Tokens: p.Holds[i]})
-		}
-		list = append(list, h)
-	}
-	return list, holds, nil
-}
-
-// reserve makes the reservations that a placement asks for.
-func (x *exchange) reserve(ctx context.Context, p catkinspindle.Placement) ([]catkinspindle.Helper, func(), error) {
-	x.tries++
-	helpers, holds, err := x.helpers(p)
-	if err != nil || len(holds) == 0 {
-		return helpers, func() {}, err
-	}
-	release, err := x.gateway.keeper.Acquire(ctx, holds)
-	return helpers, release, err
-}
-
-// stallLimit is the silence after which the replica counts as failed.
-func (x *exchange) stallLimit(p catkinspindle.Placement) time.Duration {
-	if !x.route.Streaming {
-		return max(minStall, 4*x.route.Aim)
-	}
-	return max(minStall, 3*p.First, 3*x.route.MaxPause, 4*x.route.Aim)
-}
-
-// plain forwards an answer that is no stream.
-func (x *exchange) plain(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, e *catkinspindle.Ending, began time.Time) (bool, *catkinspindle.Failure) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlain+1))
-	if err == nil && len(body) > maxPlain {
-		err = errors.New("answer is too large")
-	}
-	if err != nil {
-		x.logAttempt(p, "broken", err)
-		return false, x.retry(ctx, e, p.Replica)
-	}
-	e.First = time.Since(began)
-	if answer.Status >= http.StatusInternalServerError {
-		x.logAttempt(p, "failed with status "+strconv.Itoa(answer.Status), nil)
-		if x.route.Repeat != catkinspindle.RepeatNever && x.retry(ctx, e, p.Replica) == nil && !x.started {
-			return false, nil
-		}
-		if x.started {
-			return false, x.fail(catkinspindle.ReasonBackendFailed, "the replica could not go on")
-		}
-	} else {
-		e.Outcome = catkinspindle.OutcomeDone
-	}
-	if x.started {
-		return false, x.fail(catkinspindle.ReasonBackendFailed, "the answer to a resumed stream is no stream")
-	}
-	x.first = time.Since(x.arrived)
-	x.head(answer)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(answer.Status)
-	if _, err := x.w.Write(body); err != nil {
-		return true, x.fail(reasonGone, "the caller has gone")
-	}
-	return true, nil
-}
-
-func (x *exchange) head(answer *catkinspindle.Answer) {
-	x.started = true
-	x.status = answer.Status
-	x.model = answer.Version
-	h := x.w.Header()
-	for name, values := range answer.Header {
-		h[name] = values
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil
-	}
-}
-
-// stream forwards whole events as they come.
-func (x *exchange) stream(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, stall *stall, e *catkinspindle.Ending, began time.Time) (bool, *catkinspindle.Failure) {
-	reader := eventstream.New(answer.Body)
-	control := http.NewResponseController(x.w)
-	for {
-		event, err := reader.Next()
-		if errors.Is(err, io.EOF) {
-			e.Outcome = catkinspindle.OutcomeDone
-			if !x.started {
-				x.head(answer)
-				x.w.WriteHeader(answer.Status)
-			}
-			return true, nil
-		}
-		if err == nil {
-			err = x.follows(event)
-		}
-		if errors.Is(err, errPassed) {
-			continue
-		}
-		if err != nil {
-			if ctx.Err() == nil {
-				x.logAttempt(p, "stream broken after event "+x.last, err)
-			}
-			if f := x.retry(ctx, e, p.Replica); f != nil {
-				return false, f
-			}
-			if x.route.Repeat != catkinspindle.RepeatResume && x.started {
-				return false, x.fail(catkinspindle.ReasonBackendFailed, "the stream cannot be resumed")
-			}
-			return false, nil
-		}
-		stall.reset()
-		if e.First == 0 {
-			e.First = time.Since(began)
-		}
-		if !x.started {
-			x.first = time.Since(x.arrived)
-			x.head(answer)
-			x.w.WriteHeader(answer.Status)
-		}
-		err = control.SetWriteDeadline(time.Now().Add(callerStall))
-		if err == nil {
-			_, err = x.w.Write(event.Bytes)
-		}
-		if err == nil {
-			err = control.Flush()
-		}
-		if err != nil {
-			e.Outcome = catkinspindle.OutcomeGivenUp
-			return false, x.fail(reasonGone, "the caller has gone")
-		}
-		if event.ID != "" {
-			x.last = event.ID
-		}
-		now := time.Now()
-		if !x.eventAt.IsZero() {
-			x.pause = max(x.pause, now.Sub(x.eventAt))
-		}
-		x.eventAt = now
-	}
-}
-
-var (
-	errPassed = errors.New("event was passed on before")
-	errGap    = errors.New("events are missing")
-)
-
-// follows checks that an event is the one after the last that was passed on.
-func (x *exchange) follows(event eventstream.Event) error {
-	last, err := strconv.ParseInt(x.last, 10, 64)
-	if err != nil {
-		return nil
-	}
-	n, err := event.Number()
-	if err != nil {
-		return nil
-	}
-	if n <= last {
-		return errPassed
-	}
-	if n > last+1 {
-		return errGap
-	}
-	return nil
-}
-
-// end writes the failure, if any, and the log line of the request.
-func (x *exchange) end(r *http.Request, f *catkinspindle.Failure) {
-	g := x.gateway
-	g.held.Add(-x.held)
-	total := time.Since(x.arrived)
-	abort := f != nil && (x.started || f.Reason == reasonGone)
-	if f != nil && !abort {
-		x.status = writeFailure(x.w, f)
-	}
-	x.measure(f, total)
-	attrs := []any{
-		events.RequestEnded.Attr(), "request", x.envelope.ID, "route", x.route.Name, "workspace", x.workspace,
-		"status", x.status, "total", total, "first", x.first, "expected-first", x.expected, "longest-pause", x.pause, "helpers", x.helping, "delay", x.delay, "placing", x.placing, "placed-by", x.placedBy, "waits", x.envelope.Timeout, "spent", x.spent, "attempts", x.sent, "replica", x.replica,
-		"prompt-tokens", x.envelope.PromptTokens, "version", x.version, "replicas-revision", x.gateway.view.State().ReplicasRevision,
-	}
-	if f == nil {
-		g.log.Info("request answered", attrs...)
-		return
-	}
-	attrs = append(attrs, "reason", string(f.Reason), "verdict", f.Verdict.String(), "retry-after", f.RetryAfter, "cause", f.Err.Error(), "cut", abort)
-	if x.envelope.ID == "" {
-		attrs = append(attrs, "host", r.Host, "target", r.RequestURI)
-	}
-	g.log.Info("request failed", attrs...)
-	if abort {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func (x *exchange) measure(f *catkinspindle.Failure, total time.Duration) {
-	m := x.gateway.metrics
-	name := "requests-answered"
-	if f != nil {
-		name = "requests-failed-" + string(f.Reason)
-	}
-	metrics.GetOrRegisterCounter(name, m).Inc(1)
-	if f == nil {
-		metrics.GetOrRegisterTimer("request-time", m).Update(total)
-		metrics.GetOrRegisterTimer("first-event-time", m).Update(x.first)
-	}
-}
-
-func (x *exchange) logAttempt(p catkinspindle.Placement, outcome string, err error) {
-	attrs := []any{events.ReplicaFailed.Attr(), "request", x.envelope.ID, "replica", p.Replica, "helpers", len(p.Helpers), "outcome", outcome, "expected-first", p.First}
-	if err != nil {
-		attrs = append(attrs, "error", err.Error())
-	}
-	x.gateway.log.Info("attempt failed", attrs...)
-}
--- /dev/null
+++ b/gateway/placing.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/reservations"
+)
+
+func (x *exchange) place(ctx context.Context, avoid []string) catkinspindle.Placement {
+	now := time.Now()
+	p := x.job(ctx, avoid, x.sent > 0)
+	x.placing += time.Since(now)
+	x.note(p)
+	return p
+}
+
+// job has the request placed.
+func (x *exchange) job(ctx context.Context, avoid []string, again bool) catkinspindle.Placement {
+	now := time.Now()
+	return x.gateway.placer.Place(ctx, catkinspindle.Job{
+		Service:    x.service,
+		Prompt:     x.envelope.PromptTokens,
+		Answer:     x.envelope.AnswerTokens,
+		Left:       x.deadline.Sub(now),
+		Aim:        x.arrived.Add(x.route.Aim - x.spent).Sub(now),
+		Returned:   x.spent > 0,
+		MaxPause:   x.route.MaxPause,
+		Priority:   x.priority,
+		Avoid:      avoid,
+		Again:      again,
+		DataCentre: x.gateway.dataCentre,
+	})
+}
+
+// secure finds another replica for a request whose present one is silent. sent
+// counts the attempts with this one; avoid names the replicas tried.
+func (x *exchange) secure(ctx context.Context, sent int, avoid []string) bool {
+	if x.route.Repeat == catkinspindle.RepeatNever || sent >= x.route.MaxAttempts {
+		return false
+	}
+	if !x.gateway.budget.Repeat(time.Now(), x.service) {
+		return false
+	}
+	p := x.job(ctx, avoid, true)
+	if p.Refused() {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.secured = &p
+	return true
+}
+
+// takeSecured returns the placement that secure has found.
+func (x *exchange) takeSecured() (catkinspindle.Placement, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.secured == nil {
+		return catkinspindle.Placement{}, false
+	}
+	p := *x.secured
+	x.secured = nil
+	return p, true
+}
+
+// stay gives back a placement that secure has found and nobody needs.
+func (x *exchange) stay() {
+	if p, ok := x.takeSecured(); ok {
+		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+	}
+}
+
+func (x *exchange) note(p catkinspindle.Placement) {
+	x.placedBy, x.expected, x.helping, x.delay = p.By, p.First, len(p.Helpers), p.Delay
+}
+
+// wait waits until the placed replicas have read what was placed before.
+func (x *exchange) wait(ctx context.Context, p catkinspindle.Placement) *catkinspindle.Failure {
+	if p.Delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(p.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+		return x.over(ctx)
+	}
+}
+
+func (x *exchange) refused(p catkinspindle.Placement) *catkinspindle.Failure {
+	f := catkinspindle.Fail(x.verdict, p.Reason, "no replica can serve the request in time")
+	return f.WithRetryAfter(max(minRefusal, p.RetryAfter))
+}
+
+// helpers returns the replicas that read parts, with the reservations that they
+// need.
+func (x *exchange) helpers(p catkinspindle.Placement) ([]catkinspindle.Helper, []catkinspindle.Reservation, error) {
+	var (
+		list  []catkinspindle.Helper
+		holds []catkinspindle.Reservation
+	)
+	for i, id := range p.Helpers {
+		r, ok := x.replicas[id]
+		if !ok || r.Service != x.service || r.Leaving {
+			if len(p.Holds) > 0 {
+				return nil, nil, &reservations.Failure{Replica: id, Err: errors.New("the replica is not known here")}
+			}
+			continue
+		}
+		h := catkinspindle.Helper{Address: r.Address}
+		if len(p.Holds) > i && p.Holds[i] > 0 {
+			h.Reservation = fmt.Sprintf("%s-%d", x.envelope.ID, x.tries)
+			holds = append(holds, catkinspindle.Reservation{ID: h.Reservation, Replica: r, Tokens: p.Holds[i]})
+		}
+		list = append(list, h)
+	}
+	return list, holds, nil
+}
+
+// reserve makes the reservations that a placement asks for.
+func (x *exchange) reserve(ctx context.Context, p catkinspindle.Placement) ([]catkinspindle.Helper, func(), error) {
+	x.tries++
+	helpers, holds, err := x.helpers(p)
+	if err != nil || len(holds) == 0 {
+		return helpers, func() {}, err
+	}
+	release, err := x.gateway.keeper.Acquire(ctx, holds)
+	return helpers, release, err
+}
+
+// culprit returns the ID of the replica that an answer names by ID or address.
+func (x *exchange) culprit(name string) string {
+	if _, ok := x.replicas[name]; ok || name == "" {
+		return name
+	}
+	for id, r := range x.replicas {
+		if r.Address == name {
+			return id
+		}
+	}
+	return ""
+}
+
+// stallLimit is the silence after which the replica counts as failed.
+func (x *exchange) stallLimit(p catkinspindle.Placement) time.Duration {
+	if !x.route.Streaming {
+		return max(minStall, 4*x.route.Aim)
+	}
+	return max(minStall, 3*p.First, 3*x.route.MaxPause, 4*x.route.Aim)
+}
