--- a/gateway_settings.go
+++ b/gateway_settings.go
@@ -15,18 +15,12 @@
 	Metrics   string
 	// Store is the address of the platform's store.
 	Store string
-	// Seeds are addresses of peers to ask while the store is away.
-	Seeds []string
-	// CPUShare, MemoryMB and MaxFiles are what the VM has: a share of a core,
-	// megabytes and descriptors.
+	// CPUShare and MemoryMB are what the VM has: a share of a core and megabytes.
 	CPUShare float64
 	MemoryMB int
-	MaxFiles int
 	Retry    RetryAllowance
 	// Grace is the time between the request to stop and a kill.
 	Grace time.Duration
-	// MaxHold is the longest that memory of a replica can be reserved.
-	MaxHold time.Duration
 	// MaxLifetime bounds how long callers keep an address answer.
 	MaxLifetime time.Duration
 }
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -105,7 +105,11 @@
 		gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithMetrics(n.metrics),
 		gateway.WithMaxHeld(int64(heldShare*float64(s.MemoryMB)*(1<<20))))
-	answerer := addresses.New(n.live, n.ready, lifetime, platform.EncodeAddresses)
+	kept := lifetime
+	if s.MaxLifetime > 0 {
+		kept = min(kept, s.MaxLifetime)
+	}
+	answerer := addresses.New(n.live, n.ready, kept, platform.EncodeAddresses)
 	n.listeners = newListeners(s, n.gateway, answerer, n.metrics, n.log)
 	return n
 }
