--- a/gatewaynode/site_test.go
+++ b/gatewaynode/site_test.go
@@ -207,13 +207,13 @@
 	}
 	for i := range 5 {
 		status, body, err := s.Ask(ctx, s.Callers(0), fmt.Sprint("late-", i), http.MethodPost, "/chat/x", site.Key, 900)
-		select {
-		case <-stopped:
-			// The machine was too slow to ask in time.
-		default:
-			if err != nil || (status != 200 && status != 503) || (status == 200 && body != stream()) {
-				t.Errorf("request %d during the stop: status %d, error %v", i, status, err)
-			}
+		if err != nil && body == "" {
+			// On a slow machine the node may have ended by now.
+			<-stopped
+			break
+		}
+		if err != nil || (status != 200 && status != 503) || (status == 200 && body != stream()) {
+			t.Errorf("request %d during the stop: status %d, error %v", i, status, err)
 		}
 	}
 	if err := group.Wait(); err != nil {
