--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,6 +47,9 @@
 	refusal  *catkinspindle.Placement
 	placed   int
 	gone     chan struct{}
+	// leaving is a replica that begins to leave while a placed request waits.
+	leaving string
+	view    *view.View
 }
 
 func (w *world) Place(_ context.Context, j catkinspindle.Job) catkinspindle.Placement {
@@ -56,6 +59,9 @@
 		return *w.refusal
 	}
 	w.placed++
+	if w.leaving != "" {
+		w.view.ChangeReplicas([]view.Change{{Replica: catkinspindle.Replica{ID: w.leaving, Service: "s", Leaving: true}}}, 2, time.Time{})
+	}
 	w.avoided = append(w.avoided, j.Avoid)
 	for _, id := range []string{"r1", "r2", "r3"} {
 		avoided := false
@@ -183,6 +189,7 @@
 		list[id] = catkinspindle.Replica{ID: id, Service: "s", Address: "at-" + id}
 	}
 	v.SetReplicas(list, 1, time.Time{})
+	w.view = v
 	b := retries.New(catkinspindle.RetryAllowance{Window: 10 * time.Second, Floor: allowance}, 1)
 	g := gateway.New(v, w, w, w, b, gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, slog.New(slog.DiscardHandler))
 	server := httptest.NewServer(g)
@@ -316,6 +323,21 @@
 	}
 }
 
+// A request that waits for its readers does not go to a replica that has begun
+// to leave meanwhile.
+func TestReplicaLeavesWhileTheRequestWaits(t *testing.T) {
+	w := &world{steps: []step{okAnswer}, leaving: "r1"}
+	_, server := serve(t, w, 9, true)
+	resp, _, err := ask(t, server, "/any/", "k", "")
+	server.Close()
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answer %v, error %v", resp, err)
+	}
+	if diff := cmp.Diff("r2", w.attempts[0].Replica.ID); diff != "" {
+		t.Errorf("replica (-want +got):\n%s", diff)
+	}
+}
+
 // A refusal that names a helper by its address is the helper's: the placer hears
 // of it and the next attempt does without it.
 func TestRefusalNamesAHelper(t *testing.T) {
