Tell other nodes how long missing replicas are waited for

Change: nodes pass on the confirmed list and the time left. Test: fleet.TestMissingReplicaLeavesAllNodes, seen failing before.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -27,6 +27,7 @@
 	Replicas         map[string]catkinspindle.Replica `cbor:"2,keyasint,omitempty"`
 	ReplicasRevision int64                            `cbor:"3,keyasint"`
 	From             string                           `cbor:"4,keyasint"`
+	Wait             time.Duration                    `cbor:"5,keyasint,omitempty"`
 }
 
 type beatAnswer struct {
@@ -37,6 +38,8 @@
 	LiveHash         uint64                           `cbor:"8,keyasint"`
 	From             catkinspindle.Fellow             `cbor:"5,keyasint"`
 	ConfigVersion    int64                            `cbor:"6,keyasint"`
+	// Wait is how long replicas that Replicas lacks may still come back.
+	Wait time.Duration `cbor:"9,keyasint,omitempty"`
 	// Blind is true when the hub has lost the store.
 	Blind bool `cbor:"7,keyasint,omitempty"`
 }
@@ -101,7 +104,7 @@
 		n.Routing = &r
 	}
 	if state.ReplicasRevision > a.ReplicasRevision && len(state.Replicas) > 0 {
-		n.Replicas = state.Replicas
+		n.Replicas, n.ReplicasRevision, n.Wait = f.view.Confirmed()
 	}
 	if n.Routing == nil && n.Replicas == nil {
 		return
@@ -116,7 +119,7 @@
 	if err := decode(&n); err != nil {
 		return nil, err
 	}
-	f.adopt(beatAnswer{Routing: n.Routing, Replicas: n.Replicas, ReplicasRevision: n.ReplicasRevision, From: catkinspindle.Fellow{Name: n.From}})
+	f.adopt(beatAnswer{Routing: n.Routing, Replicas: n.Replicas, ReplicasRevision: n.ReplicasRevision, Wait: n.Wait, From: catkinspindle.Fellow{Name: n.From}})
 	return nil, nil
 }
 
@@ -125,7 +128,11 @@
 		f.log.Info("configuration adopted", events.ConfigAdopted.Attr(), "version", a.Routing.Version, "source", a.From.Name)
 	}
 	if a.Replicas != nil {
-		f.view.SetReplicas(a.Replicas, a.ReplicasRevision, time.Time{})
+		var mayReturn time.Time
+		if a.Wait > 0 {
+			mayReturn = time.Now().Add(a.Wait)
+		}
+		f.view.SetReplicas(a.Replicas, a.ReplicasRevision, mayReturn)
 	}
 }
 
@@ -152,7 +159,7 @@
 		a.Routing = &r
 	}
 	if state.ReplicasRevision > m.ReplicasRevision {
-		a.Replicas = state.Replicas
+		a.Replicas, a.ReplicasRevision, a.Wait = f.view.Confirmed()
 	}
 	return a, nil
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -192,6 +192,24 @@
 	})
 }
 
+// A replica that a hub waits for after an outage leaves all nodes when it does
+// not come back, although the store's revision stays the same.
+func TestMissingReplicaLeavesAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startNodes(t, 6)
+		defer stop(t, nodes)
+		nodes[0].view.SetReplicas(map[string]catkinspindle.Replica{"a": {ID: "a"}, "b": {ID: "b"}}, 5, time.Time{})
+		time.Sleep(2 * time.Second)
+		nodes[0].view.SetReplicas(map[string]catkinspindle.Replica{"a": {ID: "a"}}, 6, time.Now().Add(1400*time.Millisecond))
+		time.Sleep(2 * time.Second)
+		for _, n := range nodes {
+			if diff := cmp.Diff(1, len(n.view.State().Replicas)); diff != "" {
+				t.Errorf("replicas known to %s (-want +got):\n%s", n.self.Name, diff)
+			}
+		}
+	})
+}
+
 // When the store turns all hubs away, other nodes take up the watch, and what
 // they learn reaches everybody through the hubs.
 func TestOthersWatchForBlindHubs(t *testing.T) {
--- a/view/view.go
+++ b/view/view.go
@@ -140,6 +140,23 @@
 	v.publish(&s)
 }
 
+// Confirmed returns the replicas whose entries are there, their revision, and how
+// long the missing ones are still waited for: other nodes wait as long.
+func (v *View) Confirmed() (list map[string]catkinspindle.Replica, revision int64, wait time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.state.Load()
+	if len(v.missing) == 0 {
+		return s.Replicas, s.ReplicasRevision, 0
+	}
+	list = maps.Clone(s.Replicas)
+	for id, until := range v.missing {
+		delete(list, id)
+		wait = max(wait, time.Until(until))
+	}
+	return list, s.ReplicasRevision, wait
+}
+
 // Expire drops the replicas whose entries have not come back.
 func (v *View) Expire(now time.Time) {
 	v.mu.Lock()
