Fetch a configuration once, compressed, from the first hub that has it

Each hub put the whole configuration into its answers to heartbeats, so each node received it up to four times and again when the heartbeat timed out; the hubs' links were full for a second, calls to the coordinator took more than 120 ms, nodes suspected it and placed alone. Change: the answer carries the version only; a node fetches a newer one from one hub at a time, deflated, packed once a version. Test: TestBigConfigurationHoldsUpNoCalls, seen failing before.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -23,7 +23,7 @@
 
 // news is what a node knows and a hub does not.
 type news struct {
-	Routing          *catkinspindle.Routing           `cbor:"1,keyasint,omitempty"`
+	Routing          *parcel                          `cbor:"1,keyasint,omitempty"`
 	Replicas         map[string]catkinspindle.Replica `cbor:"2,keyasint,omitempty"`
 	ReplicasRevision int64                            `cbor:"3,keyasint"`
 	From             string                           `cbor:"4,keyasint"`
@@ -31,7 +31,6 @@
 }
 
 type beatAnswer struct {
-	Routing          *catkinspindle.Routing           `cbor:"1,keyasint,omitempty"`
 	Replicas         map[string]catkinspindle.Replica `cbor:"2,keyasint,omitempty"`
 	ReplicasRevision int64                            `cbor:"3,keyasint"`
 	Live             []catkinspindle.Fellow           `cbor:"4,keyasint,omitempty"`
@@ -45,10 +44,7 @@
 }
 
 func (f *Fleet) beat(ctx context.Context, to catkinspindle.Fellow, m beatMessage) {
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	var a beatAnswer
-	err := f.peers.Call(ctx, to.PeerAddress, beatKind, m, &a)
+	a, err := f.sendBeat(ctx, to, m)
 	f.mu.Lock()
 	known, ok := f.known[to.Name]
 	if err != nil {
@@ -91,17 +87,31 @@
 		}
 	}
 	f.mu.Unlock()
-	f.adopt(a)
+	f.adoptReplicas(a.Replicas, a.ReplicasRevision, a.Wait)
+	if a.ConfigVersion > f.view.State().Version() {
+		f.fetchRouting(ctx, to)
+	}
 	f.tell(ctx, to, a)
 }
 
+func (f *Fleet) sendBeat(ctx context.Context, to catkinspindle.Fellow, m beatMessage) (a beatAnswer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	err = f.peers.Call(ctx, to.PeerAddress, beatKind, m, &a)
+	return a, err
+}
+
 // tell tells a hub what it does not know yet.
 func (f *Fleet) tell(ctx context.Context, to catkinspindle.Fellow, a beatAnswer) {
 	state := f.view.State()
 	n := news{From: f.self.Name, ReplicasRevision: state.ReplicasRevision}
 	if state.Version() > a.ConfigVersion {
-		r := state.Table.Routing()
-		n.Routing = &r
+		p, err := f.parcel()
+		if err != nil {
+			f.log.Error("configuration cannot be packed", events.PeerMalformed.Attr(), "error", err)
+		} else {
+			n.Routing = &p
+		}
 	}
 	if state.ReplicasRevision > a.ReplicasRevision && len(state.Replicas) > 0 {
 		n.Replicas, n.ReplicasRevision, n.Wait = f.view.Confirmed()
@@ -109,6 +119,8 @@
 	if n.Routing == nil && n.Replicas == nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, routingTimeout)
+	defer cancel()
 	if err := f.peers.Call(ctx, to.PeerAddress, newsKind, n, nil); err != nil {
 		f.log.Debug("hub not told", events.PeerUnreachable.Attr(), "node", to.Name, "error", err)
 	}
@@ -119,21 +131,24 @@
 	if err := decode(&n); err != nil {
 		return nil, err
 	}
-	f.adopt(beatAnswer{Routing: n.Routing, Replicas: n.Replicas, ReplicasRevision: n.ReplicasRevision, Wait: n.Wait, From: catkinspindle.Fellow{Name: n.From}})
+	if n.Routing != nil {
+		f.adoptRouting(*n.Routing, n.From)
+	}
+	f.adoptReplicas(n.Replicas, n.ReplicasRevision, n.Wait)
 	return nil, nil
 }
 
-func (f *Fleet) adopt(a beatAnswer) {
-	if a.Routing != nil && f.view.SetRouting(*a.Routing) {
-		f.log.Info("configuration adopted", events.ConfigAdopted.Attr(), "version", a.Routing.Version, "source", a.From.Name)
-	}
-	if a.Replicas != nil {
-		var mayReturn time.Time
-		if a.Wait > 0 {
-			mayReturn = time.Now().Add(a.Wait)
-		}
-		f.view.SetReplicas(a.Replicas, a.ReplicasRevision, mayReturn)
+// adoptReplicas adopts a list that another node has sent; nil means that it has
+// sent none.
+func (f *Fleet) adoptReplicas(list map[string]catkinspindle.Replica, revision int64, wait time.Duration) {
+	if list == nil {
+		return
+	}
+	var mayReturn time.Time
+	if wait > 0 {
+		mayReturn = time.Now().Add(wait)
 	}
+	f.view.SetReplicas(list, revision, mayReturn)
 }
 
 // answer answers a heartbeat.
@@ -154,10 +169,6 @@
 	if m.LiveHash != f.liveHash {
 		a.Live = f.live
 	}
-	if state.Version() > m.ConfigVersion {
-		r := state.Table.Routing()
-		a.Routing = &r
-	}
 	if state.ReplicasRevision > m.ReplicasRevision {
 		a.Replicas, a.ReplicasRevision, a.Wait = f.view.Confirmed()
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -59,6 +59,11 @@
 	group  *errgroup.Group
 	cancel context.CancelFunc
 
+	// fetching is held while a configuration is fetched from a hub.
+	fetching sync.Mutex
+	packing  sync.Mutex
+	packed   parcel
+
 	mu      sync.Mutex
 	known   map[string]*fellow
 	leaving bool
@@ -138,6 +143,7 @@
 	}
 	peers.Handle(beatKind, f.answer)
 	peers.Handle(newsKind, f.hearNews)
+	peers.Handle(routingKind, f.handleRouting)
 	return f
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -23,6 +23,33 @@
 	// handlers are by address and kind.
 	handlers map[string]catkinspindle.PeerHandler
 	down     map[string]bool
+	// rate is that of each node's link in bytes a second; zero has no bound.
+	rate int
+	// free is when what a node has sent so far has left its link.
+	free map[string]time.Time
+}
+
+// carry waits until size more bytes have left the link of a node.
+func (n *network) carry(ctx context.Context, from string, size int) error {
+	n.mu.Lock()
+	if n.rate == 0 {
+		n.mu.Unlock()
+		return nil
+	}
+	start := time.Now()
+	if n.free[from].After(start) {
+		start = n.free[from]
+	}
+	n.free[from] = start.Add(time.Duration(size) * time.Second / time.Duration(n.rate))
+	left := time.NewTimer(time.Until(n.free[from]))
+	n.mu.Unlock()
+	defer left.Stop()
+	select {
+	case <-left.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // port is one node's end of the network.
@@ -49,16 +76,22 @@
 	if err != nil {
 		return err
 	}
+	if err := p.network.carry(ctx, p.address, len(data)); err != nil {
+		return err
+	}
 	v, err := h(ctx, func(v any) error { return cbor.Unmarshal(data, v) })
 	if err != nil {
 		return err
 	}
-	if resp == nil {
-		return nil
-	}
 	if data, err = cbor.Marshal(v); err != nil {
 		return err
 	}
+	if err := p.network.carry(ctx, address, len(data)); err != nil {
+		return err
+	}
+	if resp == nil {
+		return nil
+	}
 	return cbor.Unmarshal(data, resp)
 }
 
@@ -104,7 +137,7 @@
 
 func startNodes(t *testing.T, count int) (*network, []*node) {
 	t.Helper()
-	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}}
+	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
 	var (
 		nodes   []*node
 		fellows []catkinspindle.Fellow
@@ -192,6 +225,52 @@
 	})
 }
 
+// A configuration of a thousand routes reaches a large fleet in time, over links
+// of 200 Mbit/s, and holds up no call to the coordinator for longer than a node
+// waits before it places alone.
+func TestBigConfigurationHoldsUpNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 83)
+		defer stop(t, nodes)
+		net.mu.Lock()
+		net.rate = 200_000_000 / 8
+		net.mu.Unlock()
+		const placeTimeout = 120 * time.Millisecond
+		port{net, nodes[0].self.PeerAddress}.Handle("place", func(context.Context, func(any) error) (any, error) { return "here", nil })
+		time.Sleep(2 * time.Second)
+		for version := range int64(3) {
+			big := catkinspindle.Routing{Version: version + 1}
+			for i := range 1000 {
+				big.Routes = append(big.Routes, catkinspindle.Route{
+					Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("host-%d.example", i*7919%1000), Prefix: fmt.Sprintf("/%x/", i*104729),
+					Timeout: 10 * time.Second, MaxAttempts: 3, Targets: []catkinspindle.RouteTarget{{Service: "pool", Weight: 100}},
+				})
+			}
+			for _, hub := range nodes[:4] {
+				hub.view.SetRouting(big)
+			}
+			for range 40 {
+				time.Sleep(50 * time.Millisecond)
+				ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
+				if err := (port{net, nodes[50].self.PeerAddress}).Call(ctx, nodes[0].self.PeerAddress, "place", nil, nil); err != nil {
+					t.Errorf("call to the coordinator while version %d spreads: %v", version+1, err)
+				}
+				cancel()
+				for _, n := range nodes {
+					if home, _ := n.Coordinator(); home.Name != "n0" {
+						t.Fatalf("%s takes %q for the coordinator while version %d spreads", n.self.Name, home.Name, version+1)
+					}
+				}
+			}
+			for _, n := range nodes {
+				if diff := cmp.Diff(version+1, n.view.State().Version()); diff != "" {
+					t.Errorf("version that %s knows after 2 s (-want +got):\n%s", n.self.Name, diff)
+				}
+			}
+		}
+	})
+}
+
 // A replica that a hub waits for after an outage leaves all nodes when it does
 // not come back, although the store's revision stays the same.
 func TestMissingReplicaLeavesAllNodes(t *testing.T) {
