Ignore listeners that their server has closed already

Nothing was lost, but the platform sees a failed exit. Before: TestStopWithoutStore fails in its first 50 stops. After: passes. Conclusion: servers are closed first; a listener that is closed is as wanted.

--- a/gatewaynode/listeners.go
+++ b/gatewaynode/listeners.go
@@ -197,11 +197,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var errs []error
-	for _, ln := range l.closers {
-		errs = append(errs, ln.Close())
-	}
 	for _, s := range l.servers {
 		errs = append(errs, s.Close())
 	}
+	for _, ln := range l.closers {
+		// The servers have closed the listeners that they serve.
+		if err := ln.Close(); !errors.Is(err, net.ErrClosed) {
+			errs = append(errs, err)
+		}
+	}
 	return errors.Join(errs...)
 }
