--- /dev/null
+++ b/soak/callers_test.go
@@ -0,0 +1,202 @@
+package soak_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle/platform/standin/site"
+)
+
+const (
+	// deadline is what callers tell, in milliseconds, and tooLong when a call
+	// counts as stuck: far beyond the deadline on any machine.
+	deadline = 6 * time.Second
+	tooLong  = 60 * time.Second
+)
+
+// neverRun are the statuses that promise that a request was not run.
+var neverRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// answer is what a caller saw.
+type answer struct {
+	id, path string
+	node     string
+	life     int64
+	status   int
+	body     string
+	// cut is true when the connection ended before the answer did.
+	cut   bool
+	began time.Time
+	took  time.Duration
+}
+
+// callers send requests over connections that they keep, and record what comes
+// back.
+type callers struct {
+	fleet *fleet
+	mu    sync.Mutex
+	seen  []answer
+	open  map[string]answer
+}
+
+// run sends requests until ctx ends. Each caller has its own connections.
+func (c *callers) run(ctx context.Context, caller int, seed uint64) {
+	draw := rand.New(rand.NewPCG(seed, uint64(caller)))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		node := c.fleet.nodes[draw.IntN(len(c.fleet.nodes))]
+		id := fmt.Sprintf("soak-%d-%d", caller, n)
+		method, path, tokens := http.MethodPost, "/chat/x", []int{900, 12000, 90000}[draw.IntN(3)]
+		switch draw.IntN(4) {
+		case 0:
+			method, path, tokens = http.MethodPost, "/act/x", 0
+		case 1:
+			method, path, tokens = http.MethodGet, "/read/x", 0
+		case 2:
+			method, path, tokens = http.MethodGet, fmt.Sprintf("/since-%d/", 1+draw.IntN(20)), 0
+		}
+		c.ask(client, node, id, method, path, tokens)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(draw.IntN(30)) * time.Millisecond):
+		}
+	}
+}
+
+func (c *callers) ask(client *http.Client, node *process, id, method, path string, tokens int) {
+	a := answer{id: id, path: path, node: node.name, life: node.lives.Load(), began: time.Now()}
+	c.mu.Lock()
+	c.open[id] = a
+	c.mu.Unlock()
+	a.status, a.body, a.cut = c.exchange(client, node.front.address(), id, method, path, tokens)
+	a.took = time.Since(a.began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, id)
+	if a.life != node.lives.Load() {
+		a.life = 0 // Another process may have answered.
+	}
+	c.seen = append(c.seen, a)
+}
+
+// openAt returns the requests that wait for their answer at a node.
+func (c *callers) openAt(node string) (ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, a := range c.open {
+		if a.node == node {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// cutOf returns those of ids whose answers were cut.
+func (c *callers) cutOf(ids []string) (cut []answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.seen {
+		if a.cut && slices.Contains(ids, a.id) {
+			cut = append(cut, a)
+		}
+	}
+	return cut
+}
+
+func (c *callers) exchange(client *http.Client, address, id, method, path string, tokens int) (status int, body string, cut bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), tooLong)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, http.NoBody)
+	if err != nil {
+		c.fleet.t.Error(err)
+		return 0, "", true
+	}
+	req.Host = site.Host
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Authorization", "Bearer "+site.Key)
+	if tokens > 0 {
+		req.Header.Set("Token-Counts", fmt.Sprintf("%d,300", tokens))
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", true
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err != nil
+}
+
+// violations checks what callers saw against what replicas ran.
+func (c *callers) violations() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := map[string]int{}
+	for _, r := range slices.Concat(c.fleet.site.Pool, c.fleet.site.App) {
+		for _, run := range r.Runs() {
+			runs[run.ID]++
+		}
+	}
+	var errs []error
+	newest := map[string]int{}
+	for _, a := range c.seen {
+		if err := a.check(runs[a.id]); err != nil {
+			errs = append(errs, fmt.Errorf("%s %s at %s, life %d: %w", a.id, a.path, a.node, a.life, err))
+		}
+		var version int
+		if n, _ := fmt.Sscanf(a.path, "/since-%d/", &version); n == 1 && a.life > 0 {
+			key := fmt.Sprintf("%s/%d", a.node, a.life)
+			switch a.status {
+			case http.StatusOK:
+				newest[key] = max(newest[key], version)
+			case http.StatusNotFound:
+				if version <= newest[key] {
+					errs = append(errs, fmt.Errorf("%s: route of version %d was gone after version %d was in force", key, version, newest[key]))
+				}
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// check checks one answer, whose request was run so many times.
+func (a answer) check(runs int) error {
+	switch {
+	case a.took >= tooLong:
+		return fmt.Errorf("no answer in %s", tooLong)
+	case runs > 0 && slices.Contains(neverRun, a.status):
+		return fmt.Errorf("status %d, but it was run", a.status)
+	case strings.HasPrefix(a.path, "/act/") && runs > 1:
+		return fmt.Errorf("run %d times", runs)
+	case a.status != http.StatusOK || a.cut:
+		return nil
+	case runs == 0:
+		return errors.New("answered, but never run")
+	case strings.HasPrefix(a.path, "/chat/"):
+		return wholeStream(a.body)
+	}
+	return nil
+}
+
+// wholeStream checks that a stream that ended has every event, once and in order.
+func wholeStream(body string) error {
+	var want strings.Builder
+	for n := range site.Events {
+		_, _ = fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", n+1, n+1) // A builder takes every write.
+	}
+	if diff := cmp.Diff(want.String(), body); diff != "" {
+		return fmt.Errorf("stream that ended as whole (-want +got):\n%s", diff)
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,234 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/platform/standin/site"
+)
+
+const (
+	// nodeCount is one more than the hubs of a fleet.
+	nodeCount = 5
+	// patience bounds waits for a state that must come; no verdict rests on how
+	// soon it comes.
+	patience = 90 * time.Second
+	// grace is what a node has for a planned stop.
+	grace = 4 * time.Second
+)
+
+// process is a node: the real program with a settings file of its own.
+type process struct {
+	name     string
+	settings string
+	// store and front are the proxies to the store and before the callers' port.
+	store, front *proxy
+	ready        string
+	cmd          *exec.Cmd
+	// lives counts its starts.
+	lives atomic.Int64
+	// busy is held by whoever does something to the process.
+	busy sync.Mutex
+}
+
+// fleet is the real programs beside a stand-in of the platform in this process.
+type fleet struct {
+	t        *testing.T
+	program  string
+	dir      string
+	site     *site.Site
+	replicas []*proxy
+	nodes    []*process
+}
+
+func newFleet(t *testing.T, program, dir string) *fleet {
+	f := &fleet{t: t, program: program, dir: dir}
+	var err error
+	f.site, err = site.Start(context.Background(), 0, slog.New(slog.DiscardHandler), site.WithReplicasThrough(f.replicaProxy))
+	if f.site != nil {
+		t.Cleanup(func() {
+			for _, p := range f.replicas {
+				_ = p.close() // The verdict stands.
+			}
+			_ = f.site.Close()
+		})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range nodeCount {
+		f.add(fmt.Sprintf("node-%d", i))
+	}
+	t.Cleanup(f.close)
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	return f
+}
+
+func (f *fleet) replicaProxy(address string) (string, error) {
+	p, err := newProxy(address)
+	if err != nil {
+		return "", err
+	}
+	f.replicas = append(f.replicas, p)
+	return p.address(), nil
+}
+
+// lastPort is the port that was given out last. Ports are below those that the
+// kernel gives to outgoing connections, so that a node finds its own free when it
+// starts again.
+var lastPort atomic.Int64
+
+const firstPort = 20000
+
+// port returns a port that is free and stays so.
+func (f *fleet) port() int {
+	for {
+		port := firstPort + int(lastPort.Add(1))
+		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		if err != nil {
+			continue // Something else has it.
+		}
+		if err := l.Close(); err != nil {
+			f.t.Fatal(err)
+		}
+		return port
+	}
+}
+
+// add writes the settings of a node and opens its proxies.
+func (f *fleet) add(name string) {
+	var ports [5]int
+	for i := range ports {
+		ports[i] = f.port()
+	}
+	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+	n := &process{name: name, settings: filepath.Join(f.dir, name+".json"), ready: address(ports[1])}
+	var err error
+	if n.store, err = newProxy(f.site.StoreAddress()); err != nil {
+		f.t.Fatal(err)
+	}
+	if n.front, err = newProxy(address(ports[0])); err != nil {
+		f.t.Fatal(err)
+	}
+	data, err := json.Marshal(map[string]any{
+		"node-name": name, "ip": "127.0.0.1", "zone": "dc",
+		"listen":         map[string]any{"front": address(ports[0]), "ready": address(ports[1]), "directory": address(ports[2])},
+		"internal-ports": ports[3:],
+		"limits":         map[string]any{"cpu-share": 1, "memory-mb": 256},
+		"bounds":         map[string]any{"retry-budget-ratio": 0.2, "budget-window-s": 10, "retry-budget-min": 100, "grace-s": grace.Seconds()},
+		"platform":       map[string]any{"addr": n.store.address()},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(n.settings, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.nodes = append(f.nodes, n)
+}
+
+func (f *fleet) start(n *process) {
+	log, err := os.OpenFile(filepath.Join(f.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	defer func() { _ = log.Close() }() // The process holds it open.
+	n.cmd = exec.Command(f.program, "run")
+	n.cmd.Env = append(os.Environ(), "CATKINSPINDLE_CONFIG="+n.settings)
+	n.cmd.Stdout, n.cmd.Stderr = log, log
+	n.lives.Add(1)
+	if err := n.cmd.Start(); err != nil {
+		f.t.Error(err)
+	}
+}
+
+// restart starts a node again and waits until it listens: a signal that comes
+// before is answered by the system and ends the process.
+func (f *fleet) restart(n *process) {
+	f.start(n)
+	f.until(n.name+" listens", func() error {
+		c, err := net.Dial("tcp", n.ready)
+		if err != nil {
+			return err
+		}
+		return c.Close()
+	})
+}
+
+func (f *fleet) signal(n *process, s syscall.Signal) {
+	if err := n.cmd.Process.Signal(s); err != nil {
+		f.t.Errorf("%s: %v: %v", n.name, s, err)
+	}
+}
+
+// kill ends a node without warning.
+func (f *fleet) kill(n *process) {
+	f.signal(n, syscall.SIGKILL)
+	_ = n.cmd.Wait() // It reports the kill.
+}
+
+// stop ends a node as planned.
+func (f *fleet) stop(n *process) {
+	f.signal(n, syscall.SIGTERM)
+	if err := n.cmd.Wait(); err != nil {
+		f.t.Errorf("%s: planned stop: %v", n.name, err)
+	}
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		if n.cmd != nil && n.cmd.ProcessState == nil {
+			_ = n.cmd.Process.Signal(syscall.SIGCONT)
+			_ = n.cmd.Process.Kill()
+			_ = n.cmd.Wait()
+		}
+		_, _ = n.store.close(), n.front.close()
+	}
+}
+
+// await waits until each node is ready.
+func (f *fleet) await() {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		f.until(n.name+" is ready", func() error {
+			resp, err := http.Get("http://" + n.ready + platform.ReadyPath)
+			if err != nil {
+				return err
+			}
+			if err := resp.Body.Close(); err != nil || resp.StatusCode != http.StatusOK {
+				return errors.Join(err, fmt.Errorf("status %d", resp.StatusCode))
+			}
+			return nil
+		})
+	}
+}
+
+// until waits for a state that must come.
+func (f *fleet) until(what string, state func() error) {
+	f.t.Helper()
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if err = state(); err == nil {
+			return
+		}
+	}
+	f.t.Errorf("%s: not within %s: %v", what, patience, err)
+}
