Take each mechanism of the platform path away in turn

Cause: most tests of the platform path had not been seen failing. 28 mutants, each a mechanism of docs/PROOFS.md taken away. The first run left four alive: an action with several attempts was not tested, nor a short prompt that would begin late, nor a stream that outlasts the first part of a planned stop; the test of a caller that goes waited without a bound. Each has a test now.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -168,7 +168,7 @@
 	return catkinspindle.Routing{
 		Version: 1,
 		Routes: []catkinspindle.Route{
-			route("/once/", catkinspindle.RepeatNever, false, 1), route("/any/", catkinspindle.RepeatAnytime, false, 2),
+			route("/once/", catkinspindle.RepeatNever, false, 1), route("/once-of-three/", catkinspindle.RepeatNever, false, 3), route("/any/", catkinspindle.RepeatAnytime, false, 2),
 			route("/stream/", catkinspindle.RepeatResume, true, 2), open, brief,
 			quick(route("/quick/", catkinspindle.RepeatResume, true, 2)), short(route("/short-once/", catkinspindle.RepeatNever, false, 1)), short(route("/short/", catkinspindle.RepeatResume, true, 2)), quick(route("/quick-any/", catkinspindle.RepeatAnytime, false, 2)),
 		},
@@ -244,6 +244,10 @@
 		"once, replica's failure unchanged": {"/once/", []step{ranBadly, okAnswer}, false, 9, 500, 1},
 		"once, unreachable then answered":   {"/once/", []step{{err: errUnsent}, okAnswer}, false, 9, 200, 2},
 		"once, nobody reachable":            {"/once/", []step{{err: errUnsent}, {err: errUnsent}, {err: errUnsent}}, false, 9, 503, 3},
+		"once, three attempts, broken":      {"/once-of-three/", []step{{err: errSent}, okAnswer}, false, 9, 502, 1},
+		"once, three attempts, broken off":  {"/once-of-three/", []step{{status: 200, body: "fi", broken: true}, okAnswer}, false, 9, 502, 1},
+		"once, three attempts, one refuses": {"/once-of-three/", []step{refusing, okAnswer}, false, 9, 200, 2},
+		"once, three attempts, then broken": {"/once-of-three/", []step{refusing, {err: errSent}, okAnswer}, false, 9, 502, 2},
 		"any, replica refuses":              {"/any/", []step{refusing, okAnswer}, false, 9, 200, 2},
 		"any, all refuse":                   {"/any/", []step{refusing, refusing, okAnswer}, false, 9, 503, 2},
 		"any, broken then answered":         {"/any/", []step{{err: errSent}, okAnswer}, false, 9, 200, 2},
@@ -464,7 +468,11 @@
 		t.Fatal(err)
 	}
 	cancel()
-	<-w.gone
+	select {
+	case <-w.gone:
+	case <-time.After(10 * time.Second): // Half of the route's time-out.
+		t.Error("the replica's connection is still open")
+	}
 	_ = resp.Body.Close()
 	server.Close()
 	if diff := cmp.Diff([]catkinspindle.Outcome{catkinspindle.OutcomeGivenUp}, w.endings); diff != "" {
--- a/gatewaynode/site_test.go
+++ b/gatewaynode/site_test.go
@@ -20,9 +20,9 @@
 // patience bounds waits for what must happen; no verdict rests on how soon.
 const patience = 20 * time.Second
 
-func start(t *testing.T, nodes int) *site.Site {
+func start(t *testing.T, nodes int, opts ...site.Option) *site.Site {
 	t.Helper()
-	s, err := site.Start(context.Background(), nodes, slog.New(slog.DiscardHandler))
+	s, err := site.Start(context.Background(), nodes, slog.New(slog.DiscardHandler), opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -225,3 +225,38 @@
 		}
 	}
 }
+
+// A stream that began before a planned stop and outlasts the time in which new
+// requests are taken ends whole.
+func TestStopWaitsForStreams(t *testing.T) {
+	// New requests are taken for 4.5 s and streams have 11 s; this one takes 5.4 s.
+	s := start(t, 2, site.WithGrace(12*time.Second))
+	for _, r := range s.Pool {
+		r.SetFaults(replica.Faults{Pause: 900 * time.Millisecond})
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		status, body, err := s.Ask(context.Background(), s.Callers(0), "slow", http.MethodPost, "/chat/x", site.Key, 900)
+		if err != nil || status != http.StatusOK {
+			return fmt.Errorf("status %d, error %w", status, err)
+		}
+		if diff := cmp.Diff(stream(), body); diff != "" {
+			return fmt.Errorf("stream (-want +got):\n%s", diff)
+		}
+		return nil
+	})
+	await(t, "the stream has begun", func() bool {
+		for _, r := range s.Pool {
+			if len(r.Runs()) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	if err := s.StopNode(context.Background(), 0); err != nil {
+		t.Error(err)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -140,6 +140,20 @@
 	}
 }
 
+// So is a short prompt that would begin too late.
+func TestShortOverloadIsRefusedAtOnce(t *testing.T) {
+	p := planner(2)
+	for i := range 400 {
+		if got := p.Place(start, short(i)); got.Refused() {
+			if got.RetryAfter <= 0 || got.RetryAfter > 10*time.Second {
+				t.Errorf("come back after %v", got.RetryAfter)
+			}
+			return
+		}
+	}
+	t.Error("400 prompts at once were all accepted by 2 replicas")
+}
+
 // A caller that has come back is served although its aim is missed.
 func TestReturnedCallerIsServed(t *testing.T) {
 	p := planner(21)
