--- /dev/null
+++ b/fleet/model_test.go
@@ -0,0 +1,190 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/fleet"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+// move is a step of a schedule.
+type move struct {
+	kind string
+	node int
+	wait time.Duration
+}
+
+// moves publish configurations while nodes are cut off from each other, from the
+// store, or restarted.
+var moves = rapid.Custom(func(t *rapid.T) move {
+	return move{
+		kind: rapid.SampledFrom([]string{"publish", "publish", "wait", "wait", "down", "up", "blind", "see", "restart", "stale"}).Draw(t, "kind"),
+		node: rapid.IntRange(0, modelNodes-1).Draw(t, "node"),
+		wait: time.Duration(rapid.IntRange(1, 3000).Draw(t, "wait")) * time.Millisecond,
+	}
+})
+
+const (
+	modelNodes = 7
+	// poll is how often a node that watches the store sees what is new.
+	poll = 50 * time.Millisecond
+	// inForce is the time in which a configuration reaches every node in touch.
+	inForce = 2 * time.Second
+	// settle is the time after which nodes that were cut off are hubs again.
+	settle = 4 * time.Second
+)
+
+// model is a fleet beside a store that may answer with something old.
+type model struct {
+	t         *testing.T
+	network   *network
+	fellows   []catkinspindle.Fellow
+	nodes     []*node
+	published atomic.Int64
+	// stale has the store answer with the version before.
+	stale atomic.Bool
+	// newest is the highest version that each process has had in force.
+	newest map[*node]int64
+	wrong  error
+}
+
+func (m *model) start(i int) {
+	n := &node{self: m.fellows[i], view: view.New(nil)}
+	watch := func(ctx context.Context) {
+		n.set(true)
+		defer n.set(false)
+		for ctx.Err() == nil {
+			n.mu.Lock()
+			lost := n.lost
+			n.mu.Unlock()
+			if version := m.published.Load(); !lost && version > 0 {
+				if m.stale.Load() {
+					version--
+				}
+				n.view.SetRouting(catkinspindle.Routing{Version: version})
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(poll):
+			}
+		}
+	}
+	n.Fleet = fleet.New(n.self, port{m.network, n.self.PeerAddress}, n.view, watch, slog.New(slog.DiscardHandler), fleet.WithBlindness(func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.lost
+	}))
+	n.Learn(m.fellows)
+	m.nodes[i] = n
+	if err := n.Start(context.Background()); err != nil {
+		m.t.Error(err)
+	}
+}
+
+func (m *model) apply(v move) {
+	n := m.nodes[v.node]
+	switch v.kind {
+	case "publish":
+		m.published.Add(1)
+	case "wait":
+		for end := time.Now().Add(v.wait); time.Now().Before(end); m.look() {
+			time.Sleep(poll)
+		}
+	case "down":
+		m.network.setDown(n.self.PeerAddress, true)
+	case "up":
+		m.network.setDown(n.self.PeerAddress, false)
+	case "blind":
+		n.setLost(true)
+	case "see":
+		n.setLost(false)
+	case "stale":
+		m.stale.Store(!m.stale.Load())
+	case "restart":
+		m.stop(v.node)
+		m.fellows[v.node].Incarnation++
+		m.start(v.node)
+	}
+	m.look()
+}
+
+func (m *model) stop(i int) {
+	if err := m.nodes[i].Stop(context.Background()); err != nil {
+		m.t.Error(err)
+	}
+}
+
+// look notes what is in force everywhere.
+func (m *model) look() {
+	for _, n := range m.nodes {
+		version := n.view.State().Version()
+		if version < m.newest[n] && m.wrong == nil {
+			m.wrong = fmt.Errorf("%s, incarnation %d: version %d after %d", n.self.Name, n.self.Incarnation, version, m.newest[n])
+		}
+		m.newest[n] = max(m.newest[n], version)
+	}
+}
+
+// heal ends all trouble and checks that a new configuration gets everywhere.
+func (m *model) heal() {
+	m.stale.Store(false)
+	for _, n := range m.nodes {
+		m.network.setDown(n.self.PeerAddress, false)
+		n.setLost(false)
+	}
+	time.Sleep(settle)
+	published := m.published.Add(1)
+	time.Sleep(inForce)
+	m.look()
+	for _, n := range m.nodes {
+		if version := n.view.State().Version(); version != published && m.wrong == nil {
+			m.wrong = fmt.Errorf("%s has version %d, %s after %d was published", n.self.Name, version, inForce, published)
+		}
+	}
+}
+
+func play(t *testing.T, schedule []move) error {
+	var wrong error
+	synctest.Test(t, func(t *testing.T) {
+		m := &model{
+			t:       t,
+			network: &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}},
+			nodes:   make([]*node, modelNodes),
+			newest:  map[*node]int64{},
+		}
+		for i := range modelNodes {
+			m.fellows = append(m.fellows, fellow(i, 1))
+		}
+		for i := range modelNodes {
+			m.start(i)
+		}
+		for _, v := range schedule {
+			m.apply(v)
+		}
+		m.heal()
+		for i := range modelNodes {
+			m.stop(i)
+		}
+		wrong = m.wrong
+	})
+	return wrong
+}
+
+// A configuration never goes back within a process, whoever brings it, and a new
+// one is in force everywhere in time once nodes hear each other.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if err := play(t, rapid.SliceOfN(moves, 1, 25).Draw(rt, "schedule")); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
