Draw longer schedules for the configuration

The mutant that adopts any configuration survived: schedules had about five steps, too few for a publication, a wait, a stale store and another wait.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -183,7 +183,7 @@
 // one is in force everywhere in time once nodes hear each other.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		if err := play(t, rapid.SliceOfN(moves, 1, 25).Draw(rt, "schedule")); err != nil {
+		if err := play(t, rapid.SliceOfN(moves, 12, 30).Draw(rt, "schedule")); err != nil {
 			rt.Fatal(err)
 		}
 	})
