Test malformed messages between nodes, describe the engine's model

A configuration that a node sends may be unreadable, larger than allowed, older or another than it says: each is logged and changes nothing (table test, fuzz seeds). Planner.Place and PlaceAlone share what they did alike.

--- /dev/null
+++ b/fleet/malformed_test.go
@@ -0,0 +1,117 @@
+package fleet_test
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/fleet"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+// parcel and news are the messages that carry a configuration between nodes.
+type parcel struct {
+	Version  int64  `cbor:"1,keyasint"`
+	Deflated []byte `cbor:"2,keyasint"`
+}
+
+type news struct {
+	Routing *parcel `cbor:"1,keyasint,omitempty"`
+	From    string  `cbor:"4,keyasint"`
+}
+
+func deflated(t testing.TB, data []byte) []byte {
+	t.Helper()
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return buf.Bytes()
+}
+
+func encoded(t testing.TB, v any) []byte {
+	t.Helper()
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// listener is a node that knows version 3 and hears messages.
+func listener() (*network, *view.View) {
+	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
+	v := view.New(nil)
+	v.SetRouting(catkinspindle.Routing{Version: 3})
+	fleet.New(fellow(0, 1), port{net, "peer-n0"}, v, func(context.Context) {}, slog.New(slog.DiscardHandler))
+	return net, v
+}
+
+// A configuration that cannot be read, or is not the one that it says, changes
+// nothing; a good one that follows is adopted.
+func TestMalformedConfigurationIsIgnored(t *testing.T) {
+	good := encoded(t, catkinspindle.Routing{Version: 9})
+	tests := map[string]parcel{
+		"not compressed":      {9, good},
+		"cut off":             {9, deflated(t, good)[:4]},
+		"not a routing":       {9, deflated(t, encoded(t, "text"))},
+		"another version":     {12, deflated(t, good)},
+		"empty":               {9, nil},
+		"older":               {2, deflated(t, encoded(t, catkinspindle.Routing{Version: 2}))},
+		"larger than allowed": {9, deflated(t, append(good, make([]byte, 20<<20)...))},
+	}
+	for name, p := range tests {
+		t.Run(name, func(t *testing.T) {
+			net, v := listener()
+			sender := port{net, "peer-n1"}
+			if err := sender.Call(context.Background(), "peer-n0", "news", news{&p, "n1"}, nil); err != nil {
+				t.Errorf("the message is not answered: %v", err)
+			}
+			if diff := cmp.Diff(int64(3), v.State().Version()); diff != "" {
+				t.Errorf("version (-want +got):\n%s", diff)
+			}
+			if err := sender.Call(context.Background(), "peer-n0", "news", news{&parcel{9, deflated(t, good)}, "n1"}, nil); err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(int64(9), v.State().Version()); diff != "" {
+				t.Errorf("version after a good message (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// No message takes the process down or the configuration back.
+func FuzzMessages(f *testing.F) {
+	f.Add("news", encoded(f, news{&parcel{9, deflated(f, encoded(f, catkinspindle.Routing{Version: 9}))}, "n1"}))
+	f.Add("news", encoded(f, news{&parcel{9, []byte("garbage")}, "n1"}))
+	f.Add("beat", encoded(f, map[int]any{1: fellow(1, 1), 2: 4, 3: 5}))
+	f.Add("beat", []byte{0xff})
+	f.Add("routing", []byte(nil))
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		net, v := listener()
+		h := net.handlers["peer-n0"+kind]
+		if h == nil {
+			return
+		}
+		if _, err := h(context.Background(), func(v any) error { return cbor.Unmarshal(data, v) }); err != nil {
+			t.Logf("refused: %v", err)
+		}
+		if v.State().Version() < 3 {
+			t.Errorf("version %d", v.State().Version())
+		}
+	})
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -133,15 +133,27 @@
 func (p *Planner) Place(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := p.usable(now, j)
+	usable, model, placed := p.choices(now, j)
+	if placed != nil {
+		return *placed
+	}
+	return p.placePrompt(now, j, *model, usable)
+}
+
+// choices returns the replicas that may serve a prompt and the model of their
+// engine, or else the placement of a job that needs no engine or finds no replica.
+func (p *Planner) choices(now time.Time, j catkinspindle.Job) (usable []*replica, model *catkinspindle.EngineModel, placed *catkinspindle.Placement) {
+	usable = p.usable(now, j)
 	if len(usable) == 0 {
-		return refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry, 0)
+		refused := refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry, 0)
+		return nil, nil, &refused
 	}
-	model := p.services[j.Service]
+	model = p.services[j.Service]
 	if model == nil || j.Prompt == 0 {
-		return p.placePlain(now, j, usable)
+		plain := p.placePlain(now, j, usable)
+		return nil, nil, &plain
 	}
-	return p.placePrompt(now, j, *model, usable)
+	return usable, model, nil
 }
 
 // PlaceAlone places j when the coordinator cannot be asked. Other nodes place
@@ -150,13 +162,9 @@
 func (p *Planner) PlaceAlone(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := p.usable(now, j)
-	if len(usable) == 0 {
-		return refuse(j, catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry, 0)
-	}
-	model := p.services[j.Service]
-	if model == nil || j.Prompt == 0 {
-		return p.placePlain(now, j, usable)
+	usable, model, placed := p.choices(now, j)
+	if placed != nil {
+		return *placed
 	}
 	p.rand.Shuffle(len(usable), func(a, b int) { usable[a], usable[b] = usable[b], usable[a] })
 	slices.SortStableFunc(usable, func(a, b *replica) int { return cmp.Compare(len(a.jobs), len(b.jobs)) })
