Take the list of live nodes from the coordinator only

Cause: each of four hubs sent each node its list of live nodes after every start and death, although only the coordinator's list is used. Test: TestLiveListComesFromTheCoordinator, seen failing before; its bound is one list a node and the heartbeats.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -13,12 +13,14 @@
 	From             catkinspindle.Fellow `cbor:"1,keyasint"`
 	ConfigVersion    int64                `cbor:"2,keyasint"`
 	ReplicasRevision int64                `cbor:"3,keyasint"`
-	// LiveHash is of the list that the hub sent last; it sends only changes.
-	LiveHash uint64 `cbor:"4,keyasint"`
+	// LiveHash is of the list of live nodes that the hub sent last, and WantsLive
+	// true when it is the coordinator: only its list counts, and it is long.
+	LiveHash  uint64 `cbor:"4,keyasint"`
+	WantsLive bool   `cbor:"5,keyasint,omitempty"`
 }
 
-func (m beatMessage) withLiveHash(h uint64) beatMessage {
-	m.LiveHash = h
+func (m beatMessage) withLive(hash uint64, wanted bool) beatMessage {
+	m.LiveHash, m.WantsLive = hash, wanted
 	return m
 }
 
@@ -80,10 +82,9 @@
 	}
 	if ok {
 		if a.Live != nil {
-			known.lastLive = a.Live
+			known.lastLive, known.liveHash = a.Live, a.LiveHash
 		}
-		known.liveHash = a.LiveHash
-		if to.Name == f.home.Name {
+		if to.Name == f.home.Name && known.lastLive != nil {
 			f.setLive(known.lastLive)
 		}
 	}
@@ -171,7 +172,7 @@
 		known.shunned = time.Time{}
 	}
 	a := beatAnswer{LiveHash: f.liveHash, From: f.self, ReplicasRevision: state.ReplicasRevision, ConfigVersion: state.Version(), Blind: f.watching == nil || f.blind()}
-	if m.LiveHash != f.liveHash {
+	if m.WantsLive && m.LiveHash != f.liveHash {
 		a.Live = f.live
 	}
 	if state.ReplicasRevision > m.ReplicasRevision {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,8 @@
 	down     map[string]bool
 	// rate is that of each node's link in bytes a second; zero has no bound.
 	rate int
+	// carried counts the bytes of all messages.
+	carried int
 	// free is when what a node has sent so far has left its link.
 	free map[string]time.Time
 }
@@ -32,6 +35,7 @@
 // carry waits until size more bytes have left the link of a node.
 func (n *network) carry(ctx context.Context, from string, size int) error {
 	n.mu.Lock()
+	n.carried += size
 	if n.rate == 0 {
 		n.mu.Unlock()
 		return nil
@@ -101,6 +105,12 @@
 	n.down[address] = down
 }
 
+func (n *network) isDown(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down[address]
+}
+
 type node struct {
 	*fleet.Fleet
 	self     catkinspindle.Fellow
@@ -466,3 +476,36 @@
 		}
 	})
 }
+
+// The list of live nodes comes from the coordinator only, and follows when the
+// coordinator changes.
+func TestLiveListComesFromTheCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 40)
+		defer stop(t, nodes)
+		time.Sleep(2 * time.Second)
+		for _, gone := range []int{30, 0, 31} {
+			net.mu.Lock()
+			net.carried = 0
+			net.mu.Unlock()
+			net.setDown(nodes[gone].self.PeerAddress, true)
+			time.Sleep(4 * time.Second)
+			for i, n := range nodes {
+				if net.isDown(n.self.PeerAddress) {
+					continue
+				}
+				if slices.Contains(names(n.Live()), nodes[gone].self.Name) {
+					t.Errorf("n%d names %s 4 s after its death", i, nodes[gone].self.Name)
+				}
+			}
+			net.mu.Lock()
+			carried := net.carried
+			net.mu.Unlock()
+			// 4 s of heartbeats to four hubs at 110 bytes with their answers, and one
+			// list a node at 90 bytes a live node.
+			if most := 40*4*16*110 + 40*40*90; carried > most {
+				t.Errorf("%d bytes after the death of n%d, want at most %d", carried, gone, most)
+			}
+		}
+	})
+}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -43,6 +43,7 @@
 	message := beatMessage{From: f.self, ConfigVersion: f.view.State().Version(), ReplicasRevision: f.view.State().ReplicasRevision}
 	lost := append(f.judge(now, ranked, isHub), f.buried...)
 	f.buried = nil
+	home := f.home.Name
 	f.mu.Unlock()
 	for _, n := range lost {
 		f.log.Warn("node is gone", events.FellowLost.Attr(), "node", n.Name, "incarnation", n.Incarnation)
@@ -51,7 +52,7 @@
 	f.setWatching(ctx, needed)
 	for _, h := range others {
 		f.group.Go(func() error {
-			f.beat(ctx, h.Fellow, message.withLiveHash(h.liveHash))
+			f.beat(ctx, h.Fellow, message.withLive(h.liveHash, h.Name == home))
 			return nil
 		})
 	}
