Place without sorting the whole pool

Change: the few least are selected, scratch fields replace the maps, short jobs are counted as they come and go.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -48,6 +48,8 @@
 	// start is when the request is sent to its replica.
 	start time.Time
 	first time.Duration
+	// short is true when long reading must not disturb the job.
+	short bool
 	// part is the reading that the job adds to each replica that reads.
 	part time.Duration
 	// holds is the memory in tokens that each helper sets aside; empty when the
@@ -275,6 +277,7 @@
 
 func (p *Planner) commit(now time.Time, o *open, urgency int) catkinspindle.Placement {
 	p.jobs[o.job.ID] = o
+	o.short = o.job.MaxPause <= p.policy.ShortPause
 	o.replica.add(o)
 	if o.start.Before(now) {
 		o.start = now
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -69,15 +69,27 @@
 	if n == 0 {
 		return nil
 	}
-	ahead := map[*replica]time.Duration{}
-	list := make([]*replica, 0, len(usable))
+	list := make([]*replica, 0, n+1)
 	for _, r := range usable {
-		if r != host && !r.health.probation {
-			ahead[r], _ = r.sent(now)
-			list = append(list, r)
+		if r == host || r.health.probation {
+			continue
 		}
+		r.ahead, _ = r.sent(now)
+		list = insert(list, r, n, func(a, b *replica) int { return cmp.Compare(a.ahead, b.ahead) })
+	}
+	return list
+}
+
+// insert puts r into a list of the n least, behind its equals.
+func insert(list []*replica, r *replica, n int, compare func(a, b *replica) int) []*replica {
+	i := len(list)
+	for i > 0 && compare(r, list[i-1]) < 0 {
+		i--
+	}
+	if i >= n {
+		return list
 	}
-	slices.SortStableFunc(list, func(a, b *replica) int { return cmp.Compare(ahead[a], ahead[b]) })
+	list = slices.Insert(list, i, r)
 	return list[:min(n, len(list))]
 }
 
@@ -94,7 +106,7 @@
 // would begin in time and will not pause for too long.
 func (p *Planner) choosePacked(now time.Time, usable []*replica, limit int, j catkinspindle.Job, m catkinspindle.EngineModel, read time.Duration) (*replica, time.Duration) {
 	for _, r := range usable {
-		if r.short(p.policy.ShortPause) >= limit || len(r.jobs) >= m.Slots || !p.fits(m, r, j) {
+		if r.shorts >= limit || len(r.jobs) >= m.Slots || !p.fits(m, r, j) {
 			continue
 		}
 		first, pause := p.shortFirst(now, m, r, read)
@@ -107,7 +119,6 @@
 
 // chooseLeast returns the replica where the job suffers least.
 func (p *Planner) chooseLeast(now time.Time, usable []*replica, j catkinspindle.Job, m catkinspindle.EngineModel, read time.Duration) (*replica, time.Duration) {
-	expected := map[*replica]time.Duration{}
 	best := p.least(usable, func(r *replica) float64 {
 		first, pause := p.shortFirst(now, m, r, read)
 		if over := len(r.jobs) - m.Slots + 1; over > 0 {
@@ -115,12 +126,12 @@
 			// written on average.
 			first += time.Duration(over) * passTime(m, r) * 3
 		}
-		expected[r] = first
+		r.ahead = first
 		// A pass that takes too long is a pause for all who write there.
 		over := max(0, pause-time.Duration(p.policy.PauseShare*float64(j.MaxPause)))
-		return float64(first) + float64(over)*float64(1+r.short(p.policy.ShortPause))/p.policy.PauseWeight
+		return float64(first) + float64(over)*float64(1+r.shorts)/p.policy.PauseWeight
 	})
-	return best, expected[best]
+	return best, best.ahead
 }
 
 // reserved returns how many replicas are left to short jobs: those that the
@@ -128,7 +139,7 @@
 func (p *Planner) reserved(usable []*replica) int {
 	n := p.policy.Packed / 2
 	for _, r := range usable {
-		n += r.short(p.policy.ShortPause)
+		n += r.shorts
 	}
 	return min((n+p.policy.Packed-1)/p.policy.Packed, int(p.policy.ShortShare*float64(len(usable))))
 }
@@ -136,7 +147,7 @@
 // longWaits reports whether replicas without short jobs have reading to do.
 func (p *Planner) longWaits(now time.Time, usable []*replica) bool {
 	for _, r := range usable {
-		if r.backlog(now) > p.policy.ShortPause/4 && r.short(p.policy.ShortPause) == 0 {
+		if r.backlog(now) > p.policy.ShortPause/4 && r.shorts == 0 {
 			return true
 		}
 	}
@@ -234,7 +245,6 @@
 // the prompt and writes the answer.
 func (p *Planner) gang(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, part time.Duration, k int) (gang, bool) {
 	free := make([]*replica, 0, len(usable))
-	at := make(map[*replica]time.Time, len(usable))
 	reserved := p.reserved(usable)
 	for i, r := range usable {
 		if r.health.probation {
@@ -242,7 +252,7 @@
 		}
 		begin := r.begin(now)
 		if !p.bears(now, m, r, part) {
-			if i < reserved || r.short(p.policy.ShortPause) == 0 {
+			if i < reserved || r.shorts == 0 {
 				continue
 			}
 			// Short jobs keep away from a replica that is to read a long part.
@@ -250,30 +260,27 @@
 				begin = end
 			}
 		}
-		at[r] = begin
+		r.begins, r.key = begin, p.cost(now, m, r, begin)
 		free = append(free, r)
 	}
 	if len(free) < k {
 		return gang{}, false
 	}
-	slices.SortStableFunc(free, func(a, b *replica) int { return p.cost(now, m, a, at[a]).Compare(p.cost(now, m, b, at[b])) })
-	host := p.host(now, j, m, free, at)
+	host := p.host(now, j, m, free)
 	if host == nil {
 		return gang{}, false
 	}
-	g := gang{host: host, part: part, start: at[host]}
-	pace := host.pace
+	g := gang{host: host, part: part, start: host.begins, helpers: make([]*replica, 0, k)}
 	for _, r := range free {
-		if len(g.helpers) == k-1 {
-			break
-		}
-		if r == host {
-			continue
+		if r != host {
+			g.helpers = insert(g.helpers, r, k-1, byKey)
 		}
-		g.helpers = append(g.helpers, r)
+	}
+	pace := host.pace
+	for _, r := range g.helpers {
 		pace = max(pace, r.pace)
-		if at[r].After(g.start) {
-			g.start = at[r]
+		if r.begins.After(g.start) {
+			g.start = r.begins
 		}
 	}
 	for _, r := range append([]*replica{host}, g.helpers...) {
@@ -287,6 +294,8 @@
 	return g, true
 }
 
+func byKey(a, b *replica) int { return a.key.Compare(b.key) }
+
 // cost is when r is free to help; replicas with writers count as later, because
 // each of their passes also writes.
 func (p *Planner) cost(now time.Time, m catkinspindle.EngineModel, r *replica, begin time.Time) time.Time {
@@ -330,21 +339,21 @@
 // few replicas, because a replica that writes reads more slowly. One that is
 // too small for the prompt is chosen only when all are; others then set memory
 // aside.
-func (p *Planner) host(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, free []*replica, at map[*replica]time.Time) *replica {
+func (p *Planner) host(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, free []*replica) *replica {
 	var best *replica
 	var least time.Duration
 	for _, r := range free {
 		if len(r.jobs) >= m.Slots {
 			continue
 		}
-		cost := at[r].Sub(now)
+		cost := r.begins.Sub(now)
 		switch {
 		case !p.fits(m, r, j):
 			cost += p.policy.HoldCost + time.Duration(float64(p.policy.HoldCost)*float64(r.tokens)/float64(m.Memory))
-		case r.short(p.policy.ShortPause) > 0 || len(r.jobs) == 0:
+		case r.shorts > 0 || len(r.jobs) == 0:
 			cost += p.policy.OpenCost
 		}
-		if best == nil || cost < least {
+		if best == nil || cost < least || (cost == least && byKey(r, best) < 0) {
 			best, least = r, cost
 		}
 	}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -26,6 +26,13 @@
 	parts []part
 	// tokens is the memory that open jobs will need.
 	tokens int
+	// shorts counts the jobs that a long read must not disturb.
+	shorts int
+	// ahead, begins and key are scratch of the placement that is being decided: the
+	// reading that has been sent, when r is free, and its order among helpers.
+	ahead  time.Duration
+	begins time.Time
+	key    time.Time
 	// pace is the measured time of answers against the estimate.
 	pace float64
 	// usual is the mean time of a plain answer.
@@ -46,6 +53,9 @@
 
 func (r *replica) add(o *open) {
 	r.jobs[o.job.ID] = o
+	if o.short {
+		r.shorts++
+	}
 	r.tokens += o.own()
 	for i, h := range o.holds {
 		o.helpers[i].tokens += h
@@ -57,6 +67,9 @@
 		return
 	}
 	delete(r.jobs, o.job.ID)
+	if o.short {
+		r.shorts--
+	}
 	r.tokens -= o.own()
 	for i, h := range o.holds {
 		o.helpers[i].tokens -= h
@@ -122,17 +135,6 @@
 	return max(0, end.Sub(now)), later
 }
 
-// short counts the jobs that a long read must not disturb.
-func (r *replica) short(limit time.Duration) int {
-	n := 0
-	for _, o := range r.jobs {
-		if o.job.MaxPause <= limit {
-			n++
-		}
-	}
-	return n
-}
-
 // pause returns the shortest of the longest pauses that open jobs allow.
 func (r *replica) pause() time.Duration {
 	least := time.Duration(0)
