Stop waiting for replicas that a list has again

Cause: SetReplicas left the wait of a replica that had come back in place; Expire then dropped it although it was listed. Ruled out: configuration (adopted by all at version 11), the store (the two replicas registered at revisions 259 and 294). Before: TestReturnInAListAfterOutage fails. After: passes.

--- a/view/view.go
+++ b/view/view.go
@@ -110,6 +110,10 @@
 		return false
 	}
 	next := maps.Clone(list)
+	maps.DeleteFunc(v.missing, func(id string, _ time.Time) bool {
+		_, back := next[id]
+		return back || mayReturn.IsZero()
+	})
 	if !mayReturn.IsZero() {
 		for id, r := range s.Replicas {
 			if _, ok := next[id]; !ok && !r.Leaving {
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -120,3 +120,28 @@
 		t.Error("changes are known while a replica is waited for")
 	}
 }
+
+// A replica that a later list has again is no longer waited for, whether others
+// still are or not.
+func TestReturnInAListAfterOutage(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"nobody is waited for": 0, "others are waited for": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			v := view.New(nil)
+			v.SetReplicas(map[string]catkinspindle.Replica{"a": replica("a"), "b": replica("b"), "c": replica("c")}, 5, time.Time{})
+			v.SetReplicas(map[string]catkinspindle.Replica{"a": replica("a")}, 7, now.Add(time.Second))
+			var mayReturn time.Time
+			if wait > 0 {
+				mayReturn = now.Add(wait)
+			}
+			v.SetReplicas(map[string]catkinspindle.Replica{"a": replica("a"), "b": replica("b")}, 9, mayReturn)
+			v.Expire(now.Add(2 * time.Second))
+			if diff := cmp.Diff([]string{"a", "b"}, known(v)); diff != "" {
+				t.Errorf("replicas after the wait (-want +got):\n%s", diff)
+			}
+			if _, _, ok := v.Since(9); !ok {
+				t.Error("a replica is still waited for")
+			}
+		})
+	}
+}
