--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -251,7 +251,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		net.mu.Lock()
-		net.rate = 200_000_000 / 8
+		net.rate, net.carried = 200_000_000/8, 0
 		net.mu.Unlock()
 		const placeTimeout = 120 * time.Millisecond
 		port{net, nodes[0].self.PeerAddress}.Handle("place", func(context.Context, func(any) error) (any, error) { return "here", nil })
@@ -271,6 +271,13 @@
 			cancel()
 		}
 		time.Sleep(time.Second)
+		// 3 s of heartbeats to four hubs at 110 bytes with their answers, and each
+		// change from four hubs at 90 bytes.
+		net.mu.Lock()
+		if most := 83 * 4 * (12*110 + 40*90); net.carried > most {
+			t.Errorf("%d bytes for 40 changes, want at most %d", net.carried, most)
+		}
+		net.mu.Unlock()
 		for _, n := range nodes {
 			if diff := cmp.Diff(nodes[0].view.State().Replicas, n.view.State().Replicas); diff != "" {
 				t.Fatalf("replicas that %s knows (-hub +node):\n%s", n.self.Name, diff)
