Notice a replica that has vanished within 3.1 s

Ruled out: the release itself (sent at once), the leases (renewed on purpose). Before: TestSilenceIsNoticedInTime fails (5 s). After: 3.1 s, and two orders.

--- a/replicas/client_test.go
+++ b/replicas/client_test.go
@@ -216,3 +216,17 @@
 		t.Errorf("verdict (-want +got):\n%s", diff)
 	}
 }
+
+// A replica that vanishes in the middle of a request is noticed early enough for
+// the memory that the request holds elsewhere to be free in time.
+func TestSilenceIsNoticedInTime(t *testing.T) {
+	const (
+		// free is the time in which memory of an ended request must be free.
+		free = 4 * time.Second
+		// release is the time of two orders of 350 ms that get no answer.
+		release = 700 * time.Millisecond
+	)
+	if replicas.SilenceLimit+release > free {
+		t.Errorf("a vanished replica is noticed after %v", replicas.SilenceLimit)
+	}
+}
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -20,9 +20,13 @@
 	dialTimeout = 300 * time.Millisecond
 	// probeIdle, probeInterval and probeCount make up the keep-alive that
 	// notices a connection that has gone silent.
-	probeIdle     = 2 * time.Second
-	probeInterval = time.Second
+	probeIdle     = time.Second
+	probeInterval = 700 * time.Millisecond
 	probeCount    = 3
+	// SilenceLimit is when the connection to a replica that has vanished is given
+	// up. Memory that a prompt holds at other replicas must be free 4 s after its
+	// end, and its release takes up to two orders.
+	SilenceLimit = probeIdle + probeCount*probeInterval
 	// defaultLifetime is how long an idle connection is kept when the replica
 	// does not say how long it keeps it.
 	defaultLifetime = 4 * time.Second
