Refuse a list of replicas that is none

Cause: a message between nodes whose list decodes to nothing led to a nil map; the next change of a replica panicked. Found by reading the change; nodes are authenticated, so only a faulty node could send it. Before: TestMalformedListIsIgnored panics. After: logged, nothing changes.

--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -18,13 +18,15 @@
 
 // parcel and news are the messages that carry a configuration between nodes.
 type parcel struct {
-	Version  int64  `cbor:"1,keyasint"`
-	Deflated []byte `cbor:"2,keyasint"`
+	Version  int64         `cbor:"1,keyasint"`
+	Deflated []byte        `cbor:"2,keyasint"`
+	Wait     time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 type news struct {
-	Routing *parcel `cbor:"1,keyasint,omitempty"`
-	From    string  `cbor:"4,keyasint"`
+	Routing  *parcel `cbor:"1,keyasint,omitempty"`
+	Replicas *parcel `cbor:"2,keyasint,omitempty"`
+	From     string  `cbor:"4,keyasint"`
 }
 
 func deflated(t testing.TB, data []byte) []byte {
@@ -66,25 +68,25 @@
 func TestMalformedConfigurationIsIgnored(t *testing.T) {
 	good := encoded(t, catkinspindle.Routing{Version: 9})
 	tests := map[string]parcel{
-		"not compressed":      {9, good},
-		"cut off":             {9, deflated(t, good)[:4]},
-		"not a routing":       {9, deflated(t, encoded(t, "text"))},
-		"another version":     {12, deflated(t, good)},
-		"empty":               {9, nil},
-		"older":               {2, deflated(t, encoded(t, catkinspindle.Routing{Version: 2}))},
-		"larger than allowed": {9, deflated(t, append(good, make([]byte, 20<<20)...))},
+		"not compressed":      {9, good, 0},
+		"cut off":             {9, deflated(t, good)[:4], 0},
+		"not a routing":       {9, deflated(t, encoded(t, "text")), 0},
+		"another version":     {12, deflated(t, good), 0},
+		"empty":               {9, nil, 0},
+		"older":               {2, deflated(t, encoded(t, catkinspindle.Routing{Version: 2})), 0},
+		"larger than allowed": {9, deflated(t, append(good, make([]byte, 20<<20)...)), 0},
 	}
 	for name, p := range tests {
 		t.Run(name, func(t *testing.T) {
 			net, v := listener()
 			sender := port{net, "peer-n1"}
-			if err := sender.Call(context.Background(), "peer-n0", "news", news{&p, "n1"}, nil); err != nil {
+			if err := sender.Call(context.Background(), "peer-n0", "news", news{&p, nil, "n1"}, nil); err != nil {
 				t.Errorf("the message is not answered: %v", err)
 			}
 			if diff := cmp.Diff(int64(3), v.State().Version()); diff != "" {
 				t.Errorf("version (-want +got):\n%s", diff)
 			}
-			if err := sender.Call(context.Background(), "peer-n0", "news", news{&parcel{9, deflated(t, good)}, "n1"}, nil); err != nil {
+			if err := sender.Call(context.Background(), "peer-n0", "news", news{&parcel{9, deflated(t, good), 0}, nil, "n1"}, nil); err != nil {
 				t.Error(err)
 			}
 			if diff := cmp.Diff(int64(9), v.State().Version()); diff != "" {
@@ -94,10 +96,34 @@
 	}
 }
 
+// So is a list of replicas; changes that follow apply to the list that was known.
+func TestMalformedListIsIgnored(t *testing.T) {
+	tests := map[string][]byte{
+		"not compressed": []byte("garbage"),
+		"no list":        deflated(t, encoded(t, nil)),
+		"not a list":     deflated(t, encoded(t, "text")),
+	}
+	for name, data := range tests {
+		t.Run(name, func(t *testing.T) {
+			net, v := listener()
+			v.SetReplicas(map[string]catkinspindle.Replica{"a": {ID: "a"}}, 5, time.Time{})
+			sender := port{net, "peer-n1"}
+			if err := sender.Call(context.Background(), "peer-n0", "news", news{nil, &parcel{9, data, time.Second}, "n1"}, nil); err != nil {
+				t.Errorf("the message is not answered: %v", err)
+			}
+			v.ChangeReplicas([]view.Change{{Replica: catkinspindle.Replica{ID: "b"}}}, 6, time.Time{})
+			if diff := cmp.Diff(2, len(v.State().Replicas)); diff != "" {
+				t.Errorf("replicas (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // No message takes the process down or the configuration back.
 func FuzzMessages(f *testing.F) {
-	f.Add("news", encoded(f, news{&parcel{9, deflated(f, encoded(f, catkinspindle.Routing{Version: 9}))}, "n1"}))
-	f.Add("news", encoded(f, news{&parcel{9, []byte("garbage")}, "n1"}))
+	f.Add("news", encoded(f, news{&parcel{9, deflated(f, encoded(f, catkinspindle.Routing{Version: 9})), 0}, nil, "n1"}))
+	f.Add("news", encoded(f, news{&parcel{9, []byte("garbage"), 0}, nil, "n1"}))
+	f.Add("news", encoded(f, news{nil, &parcel{9, deflated(f, encoded(f, nil)), time.Second}, "n1"}))
 	f.Add("beat", encoded(f, map[int]any{1: fellow(1, 1), 2: 4, 3: 5}))
 	f.Add("beat", []byte{0xff})
 	f.Add("routing", []byte(nil))
--- a/fleet/parcel.go
+++ b/fleet/parcel.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -38,6 +39,8 @@
 	Wait time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
+var errNoList = errors.New("no list of replicas")
+
 func pack(version int64, content any) (parcel, error) {
 	var buf bytes.Buffer
 	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
@@ -147,7 +150,11 @@
 		return
 	}
 	var list map[string]catkinspindle.Replica
-	if err := p.unpack(&list); err != nil {
+	err := p.unpack(&list)
+	if err == nil && list == nil {
+		err = errNoList
+	}
+	if err != nil {
 		f.log.Warn("list of replicas of a node is unreadable", events.PeerMalformed.Attr(), "node", source, "error", err)
 		return
 	}
--- a/view/view.go
+++ b/view/view.go
@@ -45,8 +45,8 @@
 	known chan struct{}
 }
 
-// maxRecorded bounds the changes and records that are kept for other nodes. It covers the
-// replacement of a third of 1,600 replicas between two heartbeats.
+// maxRecorded bounds the changes and records that are kept for other nodes. It
+// covers the replacement of a tenth of 1,600 replicas, a record each.
 const maxRecorded = 512
 
 // record is what changed up to a revision.
