--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"time"
@@ -123,7 +122,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.group = &errgroup.Group{}
-	n.group.Go(func() error { return n.join(ctx) })
+	n.group.Go(func() error {
+		err := n.join(ctx)
+		if err != nil && ctx.Err() == nil {
+			n.log.Error("node cannot join the fleet", events.PlatformFailed.Attr(), "error", err)
+		}
+		return err
+	})
 	n.log.Info("node started", events.NodeStarted.Attr(), "incarnation", n.self.Incarnation, "store", n.settings.Store)
 	return nil
 }
@@ -144,7 +149,12 @@
 		fleet.WithCoordinatorChange(n.coordinatorChanged),
 		fleet.WithDeath(func(f catkinspindle.Fellow) { n.coordinator.Bury(f) }))
 	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.fleet.Suspect, n.log)
-	if err := errors.Join(n.transport.Start(ctx), n.coordinator.Start(ctx)); err != nil {
+	// A predecessor that is still ending may hold the address.
+	err = n.persist(ctx, "address of peers", func() error { return n.transport.Start(ctx) })
+	if err != nil {
+		return err
+	}
+	if err := n.coordinator.Start(ctx); err != nil {
 		return err
 	}
 	rank, err := n.register(ctx)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -91,22 +91,35 @@
 	return p.address(), nil
 }
 
-// lastPort is the port that was given out last. Ports are below those that the
-// kernel gives to outgoing connections, so that a node finds its own free when it
-// starts again.
-var lastPort atomic.Int64
+// Ports are below those that the kernel gives to outgoing connections, so that a
+// node finds its own free when it starts again. Each run of the tests begins
+// elsewhere, since several may run at once.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
 
-const firstPort = 20000
+var nextPort atomic.Int64
 
-// port returns a port that is free and stays so.
+func init() { nextPort.Store(int64(os.Getpid()) * 250 % (lastPort - firstPort)) }
+
+// port returns a port that nothing listens on, neither by TCP nor by UDP.
 func (f *fleet) port() int {
 	for {
-		port := firstPort + int(lastPort.Add(1))
-		l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		ip := net.IPv4(127, 0, 0, 1)
+		tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: ip, Port: port})
+		if err != nil {
+			continue // Something else has it.
+		}
+		udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: ip, Port: port})
+		if err := tcp.Close(); err != nil {
+			f.t.Fatal(err)
+		}
 		if err != nil {
 			continue // Something else has it.
 		}
-		if err := l.Close(); err != nil {
+		if err := udp.Close(); err != nil {
 			f.t.Fatal(err)
 		}
 		return port
