--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -186,6 +187,14 @@
 // serveWith serves with replicas of another kind behind the placer w.
 func serveWith(t *testing.T, w *world, replicas gateway.Sender, allowance float64, known bool) (*gateway.Gateway, *httptest.Server) {
 	t.Helper()
+	g := build(w, replicas, allowance, known)
+	server := httptest.NewServer(g)
+	t.Cleanup(server.Close)
+	return g, server
+}
+
+// build returns a gateway with replicas behind the placer w.
+func build(w *world, replicas gateway.Sender, allowance float64, known bool) *gateway.Gateway {
 	v := view.New(nil)
 	if known {
 		v.SetRouting(routing())
@@ -197,10 +206,7 @@
 	v.SetReplicas(list, 1, time.Time{})
 	w.view = v
 	b := retries.New(catkinspindle.RetryAllowance{Window: 10 * time.Second, Floor: allowance}, 1)
-	g := gateway.New(v, w, replicas, w, b, gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, slog.New(slog.DiscardHandler))
-	server := httptest.NewServer(g)
-	t.Cleanup(server.Close)
-	return g, server
+	return gateway.New(v, w, replicas, w, b, gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, slog.New(slog.DiscardHandler))
 }
 
 func ask(t *testing.T, server *httptest.Server, path, key string, body string) (*http.Response, string, error) {
@@ -321,6 +327,46 @@
 	}
 }
 
+// A request has its final answer when its route's time is over, or the caller's
+// own when that is shorter, whatever the replica does.
+func TestRouteTimeout(t *testing.T) {
+	tests := map[string]struct {
+		path     string
+		deadline string
+		want     time.Duration
+	}{
+		"may run once only":        {"/once/", "", 20 * time.Second},
+		"may be repeated":          {"/any/", "", 20 * time.Second},
+		"caller's time is shorter": {"/once/", "3000", 3 * time.Second},
+		"caller's time is longer":  {"/once/", "90000", 20 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				silent := step{status: 200, silent: true}
+				w := &world{steps: []step{silent, silent}}
+				g := build(w, w, 9, true)
+				req := httptest.NewRequest(http.MethodPost, "http://h.example"+tt.path, nil)
+				req.RequestURI = tt.path
+				req.Header.Set("Attempt-Id", "a")
+				req.Header.Set("Authorization", "Bearer k")
+				if tt.deadline != "" {
+					req.Header.Set("Deadline-Ms", tt.deadline)
+				}
+				answer := httptest.NewRecorder()
+				began := time.Now()
+				g.ServeHTTP(answer, req)
+				if diff := cmp.Diff(tt.want, time.Since(began)); diff != "" {
+					t.Errorf("time to the answer (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(http.StatusGatewayTimeout, answer.Code); diff != "" {
+					t.Errorf("status (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // A replica that is silent for a while and then goes on is not cut when nobody
 // else could take over.
 func TestSilentReplicaGoesOn(t *testing.T) {
--- a/gatewaynode/site_test.go
+++ b/gatewaynode/site_test.go
@@ -183,6 +183,37 @@
 	})
 }
 
+// A key that is revoked while the store refuses a node is refused there too, and
+// stays refused when the store takes the node's calls again.
+func TestKeyRevokedWhileCutOff(t *testing.T) {
+	const node = 2
+	s := start(t, 3)
+	status := func(key string) int {
+		got, _, err := s.Ask(context.Background(), s.Callers(node), "p", http.MethodGet, "/read/x", key, 0)
+		if err != nil {
+			t.Errorf("request with key %q: %v", key, err)
+		}
+		return got
+	}
+	if got := status(site.Key); got != http.StatusOK {
+		t.Fatalf("status %d before", got)
+	}
+	s.Refuse(node, true)
+	s.SetKeys("next-key")
+	s.Configure(nil)
+	await(t, "the next key is accepted", func() bool { return status("next-key") == http.StatusOK })
+	if got := status(site.Key); got != http.StatusUnauthorized {
+		t.Errorf("status %d with the revoked key, want %d", got, http.StatusUnauthorized)
+	}
+	s.Refuse(node, false)
+	for range 50 {
+		if got := status(site.Key); got != http.StatusUnauthorized {
+			t.Fatalf("status %d with the revoked key after the return of the store", got)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // A node that is stopped is out of the address answers, serves what comes
 // meanwhile and leaves no registration behind.
 func TestStopCutsNothing(t *testing.T) {
