Pack a list of replicas once while replicas are waited for

Cause: the packed list was kept under its revision and the time for which missing replicas are still waited for. That time differs at each call, so that after an outage of the store a hub cloned, encoded and deflated the whole list anew for each node that fetched it.

Change: kept under the revision; the time left is set on the copy that is sent.

The clone of the list while replicas are missing stays.

--- a/fleet/parcel.go
+++ b/fleet/parcel.go
@@ -76,15 +76,17 @@
 func (p *packer) pack(version int64, wait time.Duration, content any) (parcel, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.last.Version != version || p.last.Wait != wait {
+	if p.last.Version != version || p.last.Deflated == nil {
 		next, err := pack(version, content)
 		if err != nil {
 			return next, err
 		}
-		next.Wait = wait
 		p.last = next
 	}
-	return p.last, nil
+	// The time left differs for each node that asks; the content does not.
+	answer := p.last
+	answer.Wait = wait
+	return answer, nil
 }
 
 // routing returns the known configuration.
