Tell changes of the live nodes instead of the whole list

Change: the coordinator keeps its last 16 lists and answers a heartbeat, which names by its hash the list that the node has, with what changed since; a hash that it does not know is answered with the whole list, which also mends a change that was damaged. Every node keeps what it was told, so that a new coordinator usually knows the list that the others name.

Ruled out: keeping lists apart for each hub, as before; only the coordinator's word counts, and hashes tell lists apart. A check of the hash that a change should lead to: its mutant survived, because the next heartbeat shows the difference anyway.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -13,14 +13,14 @@
 	From             catkinspindle.Fellow `cbor:"1,keyasint"`
 	ConfigVersion    int64                `cbor:"2,keyasint"`
 	ReplicasRevision int64                `cbor:"3,keyasint"`
-	// LiveHash is of the list of live nodes that the hub sent last, and WantsLive
-	// true when it is the coordinator: only its list counts, and it is long.
+	// LiveHash is of the list of live nodes that this node has, and WantsLive true
+	// when the hub is the coordinator: only its list counts.
 	LiveHash  uint64 `cbor:"4,keyasint"`
 	WantsLive bool   `cbor:"5,keyasint,omitempty"`
 }
 
-func (m beatMessage) withLive(hash uint64, wanted bool) beatMessage {
-	m.LiveHash, m.WantsLive = hash, wanted
+func (m beatMessage) toHub(coordinates bool) beatMessage {
+	m.WantsLive = coordinates
 	return m
 }
 
@@ -34,12 +34,11 @@
 type beatAnswer struct {
 	// Changes lead from the revision in the heartbeat to ReplicasRevision. When the
 	// hub does not know them any more the node fetches the whole list.
-	Changes          []view.Change          `cbor:"2,keyasint,omitempty"`
-	ReplicasRevision int64                  `cbor:"3,keyasint"`
-	Live             []catkinspindle.Fellow `cbor:"4,keyasint,omitempty"`
-	LiveHash         uint64                 `cbor:"8,keyasint"`
-	From             catkinspindle.Fellow   `cbor:"5,keyasint"`
-	ConfigVersion    int64                  `cbor:"6,keyasint"`
+	Changes          []view.Change        `cbor:"2,keyasint,omitempty"`
+	ReplicasRevision int64                `cbor:"3,keyasint"`
+	Live             *liveChange          `cbor:"4,keyasint,omitempty"`
+	From             catkinspindle.Fellow `cbor:"5,keyasint"`
+	ConfigVersion    int64                `cbor:"6,keyasint"`
 	// Known is true when Changes are complete.
 	Known bool `cbor:"9,keyasint,omitempty"`
 	// Blind is true when the hub has lost the store.
@@ -77,16 +76,8 @@
 		}
 		known.Leaving = known.Leaving || a.From.Leaving
 	}
-	for _, n := range a.Live {
-		f.learn(n)
-	}
-	if ok {
-		if a.Live != nil {
-			known.lastLive, known.liveHash = a.Live, a.LiveHash
-		}
-		if to.Name == f.home.Name && known.lastLive != nil {
-			f.setLive(known.lastLive)
-		}
+	if a.Live != nil && to.Name == f.home.Name {
+		f.adoptLive(*a.Live)
 	}
 	f.mu.Unlock()
 	f.catchUp(ctx, to, a)
@@ -171,9 +162,9 @@
 		known.heard = time.Now()
 		known.shunned = time.Time{}
 	}
-	a := beatAnswer{LiveHash: f.liveHash, From: f.self, ReplicasRevision: state.ReplicasRevision, ConfigVersion: state.Version(), Blind: f.watching == nil || f.blind()}
-	if m.WantsLive && m.LiveHash != f.liveHash {
-		a.Live = f.live
+	a := beatAnswer{From: f.self, ReplicasRevision: state.ReplicasRevision, ConfigVersion: state.Version(), Blind: f.watching == nil || f.blind()}
+	if m.WantsLive && m.LiveHash != f.live.hash {
+		a.Live = f.liveSince(m.LiveHash)
 	}
 	if state.ReplicasRevision > m.ReplicasRevision {
 		if changes, upTo, ok := f.view.Since(m.ReplicasRevision); ok {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,10 +67,11 @@
 	mu      sync.Mutex
 	known   map[string]*fellow
 	leaving bool
-	live    []catkinspindle.Fellow
-	// liveHash is the hash of live.
-	liveHash uint64
-	home     catkinspindle.Fellow
+	// live are the live nodes by the coordinator's last word, past what they were
+	// before.
+	live liveList
+	past []liveList
+	home catkinspindle.Fellow
 	// leads is true when this node is the first hub, and not merely the only
 	// one that it hears.
 	leads   bool
@@ -102,9 +103,6 @@
 	dead     bool
 	// blind is true when the hub has lost the store.
 	blind bool
-	// lastLive is the list that the hub sent last, liveHash its hash.
-	lastLive []catkinspindle.Fellow
-	liveHash uint64
 }
 
 // Option changes a fleet.
@@ -254,7 +252,7 @@
 func (f *Fleet) Live() []catkinspindle.Fellow {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	live := f.live
+	live := f.live.nodes
 	if len(live) == 0 {
 		// No coordinator has been heard yet: whoever is registered counts.
 		for _, n := range f.known {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -516,3 +519,124 @@
 		}
 	})
 }
+
+// Nodes that go and come back are told to the others as changes, whatever the
+// number of nodes, and all agree on who is live.
+func TestLiveNodesTravelAsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, flapping = 120, 8
+		net, nodes := startNodes(t, count)
+		defer stop(t, nodes)
+		time.Sleep(3 * time.Second)
+		net.mu.Lock()
+		net.carried = 0
+		net.mu.Unlock()
+		began := time.Now()
+		for i := range flapping + 3 {
+			if i < flapping {
+				net.setDown(nodes[50+i].self.PeerAddress, true)
+			}
+			if back := i - 3; back >= 0 {
+				net.setDown(nodes[50+back].self.PeerAddress, false)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		// Heartbeats to four hubs at 110 bytes with their answers, and each node that
+		// goes or comes back told to each other one at 160 bytes.
+		beats := int(time.Since(began) / (250 * time.Millisecond))
+		net.mu.Lock()
+		if most := count*4*beats*110 + 2*flapping*count*160; net.carried > most {
+			t.Errorf("%d bytes, want at most %d", net.carried, most)
+		}
+		t.Logf("%d bytes", net.carried)
+		net.mu.Unlock()
+		for _, n := range nodes {
+			if diff := cmp.Diff(names(nodes[0].Live()), names(n.Live())); diff != "" {
+				t.Fatalf("live nodes that %s knows (-coordinator +node):\n%s", n.self.Name, diff)
+			}
+		}
+		if diff := cmp.Diff(count, len(nodes[0].Live())); diff != "" {
+			t.Errorf("live nodes (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// While replicas are waited for after an outage, nodes that fetch the list at
+// different times get what was packed once: packing 1,600 entries for each of
+// hundreds of nodes would hold a hub up.
+func TestWaitedListIsPackedOnce(t *testing.T) {
+	net, nodes := startNodes(t, 1)
+	defer stop(t, nodes)
+	list := map[string]catkinspindle.Replica{}
+	for i := range 1600 {
+		id := fmt.Sprintf("i-%010x", i*7919)
+		list[id] = catkinspindle.Replica{ID: id, Service: "pool", Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), DataCentre: "dc-1", Slots: 16, Born: int64(i)}
+	}
+	hub := nodes[0]
+	hub.view.SetReplicas(list, 1, time.Time{})
+	rest := maps.Clone(list)
+	delete(rest, "i-0000000000")
+	hub.view.SetReplicas(rest, 2, time.Now().Add(time.Hour))
+	fetch := func() {
+		if err := (port{net, "peer-x"}).Call(context.Background(), hub.self.PeerAddress, "replicas", struct{}{}, nil); err != nil {
+			t.Error(err)
+		}
+	}
+	fetch()
+	const calls = 20
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range calls {
+		fetch()
+	}
+	runtime.ReadMemStats(&after)
+	// A compressor alone takes over 600 KB.
+	if each := (after.TotalAlloc - before.TotalAlloc) / calls; each > 600_000 {
+		t.Errorf("%d bytes allocated for each answer", each)
+	} else {
+		t.Logf("%d bytes allocated for each answer", each)
+	}
+}
+
+// A node that has missed a part of a change is told again.
+func TestDamagedLiveChangeIsMended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 8)
+		defer stop(t, nodes)
+		time.Sleep(2 * time.Second)
+		net.mu.Lock()
+		beat := net.handlers[nodes[0].self.PeerAddress+"beat"]
+		net.mu.Unlock()
+		var damaged atomic.Int32
+		port{net, nodes[0].self.PeerAddress}.Handle("beat", func(ctx context.Context, decode func(any) error) (any, error) {
+			v, err := beat(ctx, decode)
+			if err != nil {
+				return v, err
+			}
+			data, err := cbor.Marshal(v)
+			if err != nil {
+				return nil, err
+			}
+			const live, gone = uint64(4), uint64(4)
+			var answer map[any]any
+			if err := cbor.Unmarshal(data, &answer); err != nil {
+				return nil, err
+			}
+			if change, ok := answer[live].(map[any]any); ok && change[gone] != nil && damaged.Add(1) <= int32(len(nodes)) {
+				delete(change, gone)
+			}
+			return answer, nil
+		})
+		net.setDown(nodes[7].self.PeerAddress, true)
+		time.Sleep(3 * time.Second)
+		if damaged.Load() == 0 {
+			t.Error("no change was damaged")
+		}
+		for _, n := range nodes[:7] {
+			if slices.Contains(names(n.Live()), nodes[7].self.Name) {
+				t.Errorf("%s names the dead node", n.self.Name)
+			}
+		}
+	})
+}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -3,12 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 )
@@ -44,6 +41,7 @@
 	lost := append(f.judge(now, ranked, isHub), f.buried...)
 	f.buried = nil
 	home := f.home.Name
+	message.LiveHash = f.live.hash
 	f.mu.Unlock()
 	for _, n := range lost {
 		f.log.Warn("node is gone", events.FellowLost.Attr(), "node", n.Name, "incarnation", n.Incarnation)
@@ -52,7 +50,7 @@
 	f.setWatching(ctx, needed)
 	for _, h := range others {
 		f.group.Go(func() error {
-			f.beat(ctx, h.Fellow, message.withLive(h.liveHash, h.Name == home))
+			f.beat(ctx, h.Fellow, message.toHub(h.Name == home))
 			return nil
 		})
 	}
@@ -135,7 +133,7 @@
 		n.dead = !alive
 	}
 	if home.Name == f.self.Name {
-		f.setLive(live)
+		f.setLive(newLiveList(live))
 	}
 	return lost
 }
@@ -145,23 +143,13 @@
 func (f *Fleet) presume(now time.Time) {
 	f.hearing = now
 	for _, n := range f.known {
-		counted := len(f.live) == 0 || slices.ContainsFunc(f.live, func(l catkinspindle.Fellow) bool { return l.Name == n.Name })
+		counted := len(f.live.nodes) == 0 || slices.ContainsFunc(f.live.nodes, func(l catkinspindle.Fellow) bool { return l.Name == n.Name })
 		if counted {
 			n.presumed = now.Add(silence)
 		}
 	}
 }
 
-func (f *Fleet) setLive(live []catkinspindle.Fellow) {
-	slices.SortFunc(live, func(a, b catkinspindle.Fellow) int { return cmp.Compare(a.Name, b.Name) })
-	f.live = live
-	h := xxhash.New()
-	for _, n := range live {
-		_, _ = fmt.Fprintln(h, n.Name, n.Incarnation, n.Rank, n.Leaving) // A hash takes every write.
-	}
-	f.liveHash = h.Sum64()
-}
-
 func (f *Fleet) setWatching(ctx context.Context, on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
