Look at each replica once when readers are chosen

Cause: the choice of readers tries every number of them up to 16 and computed for each the replica's pause, its pass and when its short answers end, which walk over its jobs.

Change: these are noted once for a placement; what depends on the size of a part is computed from the notes. The benchmark starts its clock after filling.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -21,6 +21,7 @@
 				if tokens == 5000 {
 					job = short(0)
 				}
+				b.ResetTimer()
 				for i := range b.N {
 					job.ID = fmt.Sprintf("n/2/%d", i)
 					p.Place(now, job)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -222,6 +222,15 @@
 // is late whatever is done, and gets the smallest that ends within its limit.
 func (p *Planner) bestGang(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) (gang, bool) {
 	read := readTime(m, j.Prompt)
+	readers := make([]*replica, 0, len(usable))
+	for _, r := range usable {
+		if !r.health.probation {
+			r.look(now, m)
+			readers = append(readers, r)
+		}
+	}
+	reserved := p.reserved(usable)
+	free := make([]*replica, 0, len(readers))
 	var best gang
 	found := false
 	most := min(len(usable), p.policy.MaxHelpers+1)
@@ -230,7 +239,8 @@
 		if k > 1 && part < p.policy.MinPart {
 			break
 		}
-		g, ok := p.gang(now, j, m, usable, part, k)
+		free = p.free(now, m, readers, reserved, part, free[:0])
+		g, ok := p.gang(now, j, m, free, part, k)
 		if ok && j.Returned && g.first <= p.longLimit(m, j) {
 			return g, true
 		}
@@ -247,28 +257,28 @@
 	return g.first + time.Duration(p.policy.IdleWeight*float64(g.idle)/float64(replicas))
 }
 
-// gang returns the k replicas that are free first, led by a host that keeps
-// the prompt and writes the answer.
-func (p *Planner) gang(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, part time.Duration, k int) (gang, bool) {
-	free := make([]*replica, 0, len(usable))
-	reserved := p.reserved(usable)
-	for i, r := range usable {
-		if r.health.probation {
-			continue
-		}
-		begin := r.begin(now)
-		if !p.bears(now, m, r, part) {
+// free appends to list the replicas that can read a part and notes when.
+func (p *Planner) free(now time.Time, m catkinspindle.EngineModel, readers []*replica, reserved int, part time.Duration, list []*replica) []*replica {
+	for i, r := range readers {
+		r.begins = r.free
+		if !p.bears(r, part) {
 			if i < reserved || r.shorts == 0 {
 				continue
 			}
 			// Short jobs keep away from a replica that is to read a long part.
-			if end := p.drained(now, m, r); end.After(begin) {
-				begin = end
+			if end := p.drained(now, r); end.After(r.begins) {
+				r.begins = end
 			}
 		}
-		r.begins, r.key = begin, p.cost(now, m, r, begin)
-		free = append(free, r)
+		r.key = p.cost(now, r)
+		list = append(list, r)
 	}
+	return list
+}
+
+// gang returns the k of the free replicas that are free first, led by a host that
+// keeps the prompt and writes the answer.
+func (p *Planner) gang(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, free []*replica, part time.Duration, k int) (gang, bool) {
 	if len(free) < k {
 		return gang{}, false
 	}
@@ -289,8 +299,9 @@
 			g.start = r.begins
 		}
 	}
-	for _, r := range append([]*replica{host}, g.helpers...) {
-		g.idle += g.start.Sub(r.begin(now))
+	g.idle = g.start.Sub(host.free)
+	for _, r := range g.helpers {
+		g.idle += g.start.Sub(r.free)
 	}
 	wait := g.start.Sub(now)
 	if part <= p.policy.JumpPart {
@@ -304,41 +315,42 @@
 
 // cost is when r is free to help; replicas with writers count as later, because
 // each of their passes also writes.
-func (p *Planner) cost(now time.Time, m catkinspindle.EngineModel, r *replica, begin time.Time) time.Time {
-	if len(r.jobs) > 0 && !begin.After(now.Add(p.policy.WriterCost)) {
-		return begin.Add(passTime(m, r) + p.policy.WriterCost)
+func (p *Planner) cost(now time.Time, r *replica) time.Time {
+	if len(r.jobs) > 0 && !r.begins.After(now.Add(p.policy.WriterCost)) {
+		return r.begins.Add(r.pass + p.policy.WriterCost)
 	}
-	return begin
+	return r.begins
 }
 
 // drained estimates when the last of the short jobs of r will have ended.
-func (p *Planner) drained(now time.Time, m catkinspindle.EngineModel, r *replica) time.Time {
-	last := now
-	pass := passTime(m, r)
+func (p *Planner) drained(now time.Time, r *replica) time.Time {
+	if !r.drains.IsZero() {
+		return r.drains
+	}
+	r.drains = now
 	for _, o := range r.jobs {
 		if o.job.MaxPause > p.policy.ShortPause {
 			continue
 		}
-		events := o.job.Answer/max(1, m.Stride) + 1
-		if end := o.placed.Add(o.first + time.Duration(events)*pass); end.After(last) {
-			last = end
+		events := o.job.Answer/max(1, r.stride) + 1
+		if end := o.placed.Add(o.first + time.Duration(events)*r.pass); end.After(r.drains) {
+			r.drains = end
 		}
 	}
-	return last
+	return r.drains
 }
 
 // bears reports whether the writers of r allow a pass that reads a part of this
 // size.
-func (p *Planner) bears(now time.Time, m catkinspindle.EngineModel, r *replica, part time.Duration) bool {
-	allowed := r.pause()
-	if allowed <= 0 {
+func (p *Planner) bears(r *replica, part time.Duration) bool {
+	if r.allowed <= 0 {
 		return true
 	}
-	pass := passTime(m, r) + time.Duration(float64(part)*r.pace)
-	if allowed <= p.policy.ShortPause {
-		pass += r.backlog(now)
+	pass := r.pass + time.Duration(float64(part)*r.pace)
+	if r.allowed <= p.policy.ShortPause {
+		pass += r.waits
 	}
-	return float64(pass) <= p.policy.PauseShare*float64(allowed)
+	return float64(pass) <= p.policy.PauseShare*float64(r.allowed)
 }
 
 // host chooses the replica that keeps the prompt: long answers are packed onto
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -28,11 +28,18 @@
 	tokens int
 	// shorts counts the jobs that a long read must not disturb.
 	shorts int
-	// ahead, begins and key are scratch of the placement that is being decided: the
-	// reading that has been sent, when r is free, and its order among helpers.
-	ahead  time.Duration
-	begins time.Time
-	key    time.Time
+	// The next ones are scratch of the placement that is being decided. ahead is the
+	// reading that has been sent; look notes when all reading will have ended, the
+	// time to that, the longest pause that the writers allow and the length of a
+	// pass; drains is when the short jobs will have ended, zero until it is asked for;
+	// begins is when r could read a part, key its order among helpers.
+	ahead          time.Duration
+	free           time.Time
+	waits, allowed time.Duration
+	pass           time.Duration
+	stride         int
+	drains         time.Time
+	begins, key    time.Time
 	// pace is the measured time of answers against the estimate.
 	pace float64
 	// usual is the mean time of a plain answer.
@@ -86,6 +93,12 @@
 	return now
 }
 
+// look notes what the choice of readers needs to know of r for parts of any size.
+func (r *replica) look(now time.Time, m catkinspindle.EngineModel) {
+	r.free, r.waits, r.allowed = r.begin(now), r.backlog(now), r.pause()
+	r.pass, r.stride, r.drains = passTime(m, r), m.Stride, time.Time{}
+}
+
 func (r *replica) read(p part) {
 	r.parts = append(r.parts, p)
 	r.extend(p)
