Join the fleet with one write

Each node that came back made three writes (to create the secret that was there, to create its entry, to replace it), 900 within a second where the store takes 400 for all; refused ones came again at once after the same pause.

Change: the secret is read and created only when there is none; the nodes are listed before the registration, which then is the one write that fits; the pause after a failure is drawn anew.

Ruled out: serving before the registration (tried: the ranks of old and new incarnations would mix and hubs would change with each registration).

Before: three writes, gatewaynode.TestJoiningTakesOneWrite fails.

--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -33,7 +34,8 @@
 	// lifetime is how long callers may keep an address answer. Some keep it
 	// three times as long, which must fit into the time of a planned stop.
 	lifetime = time.Second
-	// joinRetry is the pause after a failed call on the way into the fleet.
+	// joinRetry is the mean pause after a failed call on the way into the fleet; it
+	// is drawn anew each time, so that nodes that start together spread out.
 	joinRetry = 250 * time.Millisecond
 	// heldShare is the part of the VM's memory that bodies may take.
 	heldShare = 0.2
@@ -158,28 +160,48 @@
 	if err := n.coordinator.Start(ctx); err != nil {
 		return err
 	}
-	rank, err := n.register(ctx)
-	if err != nil {
+	if err := n.enter(ctx); err != nil {
 		return err
 	}
-	n.self.Rank = rank
-	n.fleet.LearnOne(n.self)
-	// The others are listed once; hubs tell of all changes.
-	err = n.persist(ctx, "list of nodes", func() error {
-		objects, revision, err := n.store.List(ctx, platform.NodesKind)
-		if err == nil {
-			nodesSink{n}.Reset(objects, revision, time.Time{})
-		}
+	if err := n.fleet.Start(ctx); err != nil {
 		return err
-	})
+	}
+	close(n.joined)
+	return nil
+}
+
+// enter lists the other nodes, once, since hubs tell of all changes, and registers
+// this one with a single write: when all nodes come back at once, the store's rate
+// of writes decides how soon they serve.
+func (n *Node) enter(ctx context.Context) error {
+	known, others, err := n.listNodes(ctx)
 	if err != nil {
 		return err
 	}
-	if err := n.fleet.Start(ctx); err != nil {
+	if err := n.register(ctx, known); err != nil || others {
 		return err
 	}
-	close(n.joined)
-	return nil
+	// Nodes that start for the first time together miss each other in the first list.
+	_, _, err = n.listNodes(ctx)
+	return err
+}
+
+// listNodes learns of the registered nodes and returns whether this one and whether
+// others are among them.
+func (n *Node) listNodes(ctx context.Context) (known, others bool, err error) {
+	err = n.persist(ctx, "list of nodes", func() error {
+		objects, revision, err := n.store.List(ctx, platform.NodesKind)
+		if err != nil {
+			return err
+		}
+		for _, o := range objects {
+			known = known || o.Name == n.self.Name
+			others = others || o.Name != n.self.Name
+		}
+		nodesSink{n}.Reset(objects, revision, time.Time{})
+		return nil
+	})
+	return known, others, err
 }
 
 // secret returns the secret of the fleet, which the first node creates.
@@ -193,6 +215,15 @@
 	}
 	var got secret
 	err = n.persist(ctx, "secret of the fleet", func() error {
+		there, _, err := n.store.List(ctx, keysKind)
+		if err != nil {
+			return err
+		}
+		for _, o := range there {
+			if o.Name == keysName {
+				return json.Unmarshal(o.Spec, &got)
+			}
+		}
 		o, err := n.store.Create(ctx, keysKind, keysName, secret{Seed: base64.StdEncoding.EncodeToString(seed)})
 		if err != nil {
 			return err
@@ -205,13 +236,18 @@
 	return base64.StdEncoding.DecodeString(got.Seed)
 }
 
-func (n *Node) register(ctx context.Context) (rank int64, err error) {
-	err = n.persist(ctx, "registration", func() error {
-		var err error
-		rank, err = n.store.Write(ctx, platform.NodesKind, n.self.Name, n.self)
+// register enters this node in the store, which gives it its rank. known is true
+// when the store has an entry from before.
+func (n *Node) register(ctx context.Context, known bool) error {
+	err := n.persist(ctx, "registration", func() error {
+		rank, err := n.store.Write(ctx, platform.NodesKind, n.self.Name, n.self, known)
+		n.self.Rank = rank
 		return err
 	})
-	return rank, err
+	if err == nil {
+		n.fleet.LearnOne(n.self)
+	}
+	return err
 }
 
 // persist repeats f until it succeeds or ctx ends.
@@ -225,7 +261,7 @@
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("%s: %w", what, ctx.Err())
-		case <-time.After(joinRetry):
+		case <-time.After(joinRetry/2 + rand.N(joinRetry)):
 		}
 	}
 }
--- a/objects.go
+++ b/objects.go
@@ -33,8 +33,9 @@
 	Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]ObjectChange, int64, error)
 	// Create creates an object. When one exists it returns that one.
 	Create(ctx context.Context, kind, name string, spec any) (StoredObject, error)
-	// Write creates or replaces an object and returns its revision.
-	Write(ctx context.Context, kind, name string, spec any) (int64, error)
+	// Write creates or replaces an object and returns its revision. It takes one call
+	// when there says rightly whether one exists, and two otherwise.
+	Write(ctx context.Context, kind, name string, spec any, there bool) (int64, error)
 	// Remove deletes an object; one that does not exist is no error.
 	Remove(ctx context.Context, kind, name string) error
 }
