Go on to the next replica while a node's list is behind the coordinator's

The coordinator watches the store and places on new, empty replicas at once; other nodes hear of them up to 250 ms later, gave such a placement back and ended the request after three, as if three connections had failed.

Change: placements that this node cannot use are counted apart and bounded by twelve; each costs a message to the coordinator (1 to 4 ms).

Ruled out: waiting for the next heartbeat, which would miss the objective of short prompts; sending the replica's entry with the placement, which would need a rule for whose word is newer.

Also removes a parameter that was not used, which the linter found.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,6 +18,10 @@
 	maxPlain = 16 << 20
 	// maxUnsent bounds the replicas that are tried without a connection.
 	maxUnsent = 3
+	// maxUnknown bounds the placements on replicas that this node does not know yet or
+	// knows to be leaving. While a release replaces a tenth of the replicas a second,
+	// up to ten differ for the 250 ms between heartbeats; a placement takes 1 to 4 ms.
+	maxUnknown = 12
 	// minStall is the shortest silence of a replica that counts as a failure.
 	minStall = 1200 * time.Millisecond
 	// minRefusal is the shortest Retry-After.
@@ -48,7 +52,9 @@
 	// could not be reached.
 	sent   int
 	unsent int
-	avoid  []string
+	// unknown counts placements on replicas that this node could not use.
+	unknown int
+	avoid   []string
 	// verdict is the highest that any attempt left open.
 	verdict catkinspindle.Verdict
 	// first is the time to the first event or answer.
@@ -143,10 +149,15 @@
 	x.replicas = g.view.State().Replicas
 	replica, ok := x.replicas[p.Replica]
 	if !ok || replica.Service != x.service || replica.Leaving {
-		// The coordinator knows a replica that this node has not heard of.
+		// The coordinator knows a replica that this node has not heard of, or does not
+		// know yet that it leaves.
 		e.Outcome = catkinspindle.OutcomeGivenUp
 		g.placer.End(e)
-		return false, x.next(ctx, &e, p.Replica)
+		x.avoid = append(x.avoid, p.Replica)
+		if x.unknown++; x.unknown >= maxUnknown {
+			return false, x.fail(catkinspindle.ReasonNoBackend, "no replica is known to this node")
+		}
+		return false, nil
 	}
 	e.Outcome = catkinspindle.OutcomeFailed
 	defer func() {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -48,6 +49,9 @@
 	refusal  *catkinspindle.Placement
 	placed   int
 	gone     chan struct{}
+	// names are the replicas that jobs are placed on, in their order; r1 to r3 when
+	// it is empty.
+	names []string
 	// leaving is a replica that begins to leave while a placed request waits.
 	leaving string
 	view    *view.View
@@ -64,7 +68,11 @@
 		w.view.ChangeReplicas([]view.Change{{Replica: catkinspindle.Replica{ID: w.leaving, Service: "s", Leaving: true}}}, 2, time.Time{})
 	}
 	w.avoided = append(w.avoided, j.Avoid)
-	for _, id := range []string{"r1", "r2", "r3"} {
+	names := w.names
+	if len(names) == 0 {
+		names = []string{"r1", "r2", "r3"}
+	}
+	for _, id := range names {
 		avoided := false
 		for _, a := range j.Avoid {
 			avoided = avoided || a == id
@@ -394,6 +402,45 @@
 	}
 }
 
+// While many replicas start or leave at once, a job is placed on some that this node
+// does not know yet, or knows to be leaving; it goes to the next ones then.
+func TestReplicasThatAreNotKnownYet(t *testing.T) {
+	unknown := func(n int) (names []string) {
+		for i := range n {
+			names = append(names, fmt.Sprintf("new-%d", i))
+		}
+		return names
+	}
+	tests := map[string]struct {
+		names  []string
+		status int
+		placed int
+	}{
+		"eight of them":  {append(unknown(8), "r1"), 200, 9},
+		"nothing else":   {unknown(8), 503, 9},
+		"no end of them": {unknown(100), 503, 12},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{names: tt.names, steps: []step{okAnswer}}
+			_, server := serve(t, w, 9, true)
+			resp, _, err := ask(t, server, "/once/", "k", "")
+			server.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status {
+				t.Errorf("status %d, want %d", resp.StatusCode, tt.status)
+			}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if tt.status == 200 && w.placed != tt.placed || w.placed > tt.placed {
+				t.Errorf("placed %d times, want %d", w.placed, tt.placed)
+			}
+		})
+	}
+}
+
 // A refusal that names a helper by its address is the helper's: the placer hears
 // of it and the next attempt does without it.
 func TestRefusalNamesAHelper(t *testing.T) {
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -239,7 +239,7 @@
 		if k > 1 && part < p.policy.MinPart {
 			break
 		}
-		free = p.free(now, m, readers, reserved, part, free[:0])
+		free = p.free(now, readers, reserved, part, free[:0])
 		g, ok := p.gang(now, j, m, free, part, k)
 		if ok && j.Returned && g.first <= p.longLimit(m, j) {
 			return g, true
@@ -258,7 +258,7 @@
 }
 
 // free appends to list the replicas that can read a part and notes when.
-func (p *Planner) free(now time.Time, m catkinspindle.EngineModel, readers []*replica, reserved int, part time.Duration, list []*replica) []*replica {
+func (p *Planner) free(now time.Time, readers []*replica, reserved int, part time.Duration, list []*replica) []*replica {
 	for i, r := range readers {
 		r.begins = r.free
 		if !p.bears(r, part) {
