Move pools into a file of their own

Reading the change as a newcomer: the planner's file had over 400 lines, and the type called member was a key.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -28,10 +28,10 @@
 	services map[string]*catkinspindle.EngineModel
 	replicas map[string]*replica
 	order    []*replica
-	// sizes are the numbers of replicas by service, members the replicas of each pool
+	// sizes are the numbers of replicas by service, pools the replicas of each pool
 	// that has been asked for.
 	sizes   map[string]int
-	members map[member][]*replica
+	pools   map[servicePool][]*replica
 	jobs    map[string]*open
 	expired time.Time
 }
@@ -43,12 +43,6 @@
 	expireSlack    = 500 * time.Millisecond
 )
 
-// member is a pool of a service.
-type member struct {
-	service string
-	pool    catkinspindle.Pool
-}
-
 // open is a job that has been placed and has not ended.
 type open struct {
 	job     catkinspindle.Job
@@ -104,7 +98,7 @@
 		services: map[string]*catkinspindle.EngineModel{},
 		replicas: map[string]*replica{},
 		sizes:    map[string]int{},
-		members:  map[member][]*replica{},
+		pools:    map[servicePool][]*replica{},
 		jobs:     map[string]*open{},
 	}
 	for _, opt := range opts {
@@ -131,7 +125,7 @@
 	next := make(map[string]*replica, len(list))
 	p.order = p.order[:0]
 	clear(p.sizes)
-	clear(p.members)
+	clear(p.pools)
 	for id, r := range list {
 		p.sizes[r.Service]++
 		known, ok := p.replicas[id]
@@ -146,19 +140,6 @@
 	slices.SortFunc(p.order, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// Pool returns the pool for the nth job of a node on a service. When the number of
-// pools changes, what was placed before is known to fewer coordinators than it
-// should be until it has ended; replicas refuse what is too much.
-func (p *Planner) Pool(service string, n uint64) catkinspindle.Pool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	parts := (p.sizes[service] + p.policy.PoolSize - 1) / p.policy.PoolSize
-	if parts <= 1 {
-		return catkinspindle.Pool{}
-	}
-	return catkinspindle.Pool{Part: int(n % uint64(parts)), Parts: parts}
-}
-
 // Place implements catkinspindle.Placer.
 func (p *Planner) Place(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
 	p.mu.Lock()
@@ -239,7 +220,7 @@
 func (p *Planner) usable(now time.Time, j catkinspindle.Job) []*replica {
 	p.expire(now)
 	var good, suspected []*replica
-	for _, r := range p.pool(member{j.Service, j.Pool}) {
+	for _, r := range p.pool(servicePool{j.Service, j.Pool}) {
 		if r.Leaving || slices.Contains(j.Avoid, r.ID) {
 			continue
 		}
@@ -255,23 +236,6 @@
 	return good
 }
 
-// pool returns the replicas of a pool, ordered by ID.
-func (p *Planner) pool(m member) []*replica {
-	if m.pool.Divided() && (m.pool.Part < 0 || m.pool.Part >= m.pool.Parts || m.pool.Parts > len(p.order)) {
-		return nil // No node names such a pool for the replicas known here.
-	}
-	list, ok := p.members[m]
-	if !ok {
-		for _, r := range p.order {
-			if r.Service == m.service && r.in(m.pool) {
-				list = append(list, r)
-			}
-		}
-		p.members[m] = list
-	}
-	return list
-}
-
 // placePlain chooses the replica with the fewest requests in flight.
 func (p *Planner) placePlain(now time.Time, j catkinspindle.Job, usable []*replica) catkinspindle.Placement {
 	best := p.least(usable, func(r *replica) float64 {
--- /dev/null
+++ b/placement/pool.go
@@ -0,0 +1,39 @@
+package placement
+
+import "github.com/catkinspindle/catkinspindle"
+
+// servicePool is a pool of a service.
+type servicePool struct {
+	service string
+	pool    catkinspindle.Pool
+}
+
+// Pool returns the pool for the nth job of a node on a service. When the number of
+// pools changes, what was placed before is known to fewer coordinators than it
+// should be until it has ended; replicas refuse what is too much.
+func (p *Planner) Pool(service string, n uint64) catkinspindle.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	parts := (p.sizes[service] + p.policy.PoolSize - 1) / p.policy.PoolSize
+	if parts <= 1 {
+		return catkinspindle.Pool{}
+	}
+	return catkinspindle.Pool{Part: int(n % uint64(parts)), Parts: parts}
+}
+
+// pool returns the replicas of a pool, ordered by ID.
+func (p *Planner) pool(m servicePool) []*replica {
+	if m.pool.Divided() && (m.pool.Part < 0 || m.pool.Part >= m.pool.Parts || m.pool.Parts > len(p.order)) {
+		return nil // No node names such a pool for the replicas known here.
+	}
+	list, ok := p.pools[m]
+	if !ok {
+		for _, r := range p.order {
+			if r.Service == m.service && r.in(m.pool) {
+				list = append(list, r)
+			}
+		}
+		p.pools[m] = list
+	}
+	return list
+}
