--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -239,7 +239,7 @@
 		if k > 1 && part < p.policy.MinPart {
 			break
 		}
-		free = p.free(now, readers, reserved, part, free[:0])
+		free = p.canRead(now, readers, reserved, part, free[:0])
 		g, ok := p.gang(now, j, m, free, part, k)
 		if ok && j.Returned && g.first <= p.longLimit(m, j) {
 			return g, true
@@ -257,10 +257,10 @@
 	return g.first + time.Duration(p.policy.IdleWeight*float64(g.idle)/float64(replicas))
 }
 
-// free appends to list the replicas that can read a part and notes when.
-func (p *Planner) free(now time.Time, readers []*replica, reserved int, part time.Duration, list []*replica) []*replica {
+// canRead appends to list the replicas that can read a part and notes when.
+func (p *Planner) canRead(now time.Time, readers []*replica, reserved int, part time.Duration, list []*replica) []*replica {
 	for i, r := range readers {
-		r.begins = r.free
+		r.begins = r.idleAt
 		if !p.bears(r, part) {
 			if i < reserved || r.shorts == 0 {
 				continue
@@ -299,9 +299,9 @@
 			g.start = r.begins
 		}
 	}
-	g.idle = g.start.Sub(host.free)
+	g.idle = g.start.Sub(host.idleAt)
 	for _, r := range g.helpers {
-		g.idle += g.start.Sub(r.free)
+		g.idle += g.start.Sub(r.idleAt)
 	}
 	wait := g.start.Sub(now)
 	if part <= p.policy.JumpPart {
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -33,12 +33,12 @@
 	// shorts counts the jobs that a long read must not disturb.
 	shorts int
 	// The next ones are scratch of the placement that is being decided. ahead is the
-	// reading that has been sent; look notes when all reading will have ended, the
+	// reading that has been sent; look notes when all reading will have ended (idleAt), the
 	// time to that, the longest pause that the writers allow and the length of a
 	// pass; drains is when the short jobs will have ended, zero until it is asked for;
 	// begins is when r could read a part, key its order among helpers.
 	ahead          time.Duration
-	free           time.Time
+	idleAt         time.Time
 	waits, allowed time.Duration
 	pass           time.Duration
 	stride         int
@@ -104,7 +104,7 @@
 
 // look notes what the choice of readers needs to know of r for parts of any size.
 func (r *replica) look(now time.Time, m catkinspindle.EngineModel) {
-	r.free, r.waits, r.allowed = r.begin(now), r.backlog(now), r.pause()
+	r.idleAt, r.waits, r.allowed = r.begin(now), r.backlog(now), r.pause()
 	r.pass, r.stride, r.drains = passTime(m, r), m.Stride, time.Time{}
 }
 
