--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -95,7 +95,11 @@
 // nothing.
 type leastInFlight struct {
 	jobs map[string]string
-	open [loadReplicas]int
+	open []int
+}
+
+func newLeastInFlight(replicas int) *leastInFlight {
+	return &leastInFlight{jobs: map[string]string{}, open: make([]int, replicas)}
 }
 
 func (l *leastInFlight) Place(_ time.Time, j catkinspindle.Job) catkinspindle.Placement {
@@ -307,8 +311,13 @@
 
 // run plays the load at a multiple of its rate.
 func run(policy placer, seed uint64, factor float64) []*caller {
+	return runOn(loadReplicas, policy, seed, factor)
+}
+
+// runOn plays it on so many replicas.
+func runOn(replicas int, policy placer, seed uint64, factor float64) []*caller {
 	p := &play{policy: policy, engines: map[string]*engine{}}
-	for i := range loadReplicas {
+	for i := range replicas {
 		p.engines[fmt.Sprintf("r%02d", i)] = &engine{}
 	}
 	p.arrive(seed, factor)
@@ -369,7 +378,7 @@
 		t.Run(fmt.Sprintf("rate %.1f", factor), func(t *testing.T) {
 			var got, base []*caller
 			for seed := range uint64(seeds) {
-				planned, counted := run(planner(loadReplicas), seed, factor), run(&leastInFlight{jobs: map[string]string{}}, seed, factor)
+				planned, counted := run(planner(loadReplicas), seed, factor), run(newLeastInFlight(loadReplicas), seed, factor)
 				if ours, theirs := sum(planned).worth, sum(counted).worth; ours <= theirs {
 					t.Errorf("seed %d: worth %.3f, of the baseline %.3f", seed, ours, theirs)
 				}
@@ -389,6 +398,49 @@
 	}
 }
 
+// pooled places on the pools of a planner in turns, as a node does.
+type pooled struct {
+	*placement.Planner
+	placed uint64
+}
+
+func (p *pooled) Place(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
+	p.placed++
+	j.Pool = p.Pool(j.Service, p.placed)
+	return p.Planner.Place(now, j)
+}
+
+// A service of twice the replicas at twice the rate, divided into pools of the size on
+// which the load is played else, serves its callers better than the baseline and
+// starves no size. Pools of the default policy are seven times as large.
+func TestDividedLoadIsServed(t *testing.T) {
+	const pools = 2
+	policy := placement.DefaultPolicy()
+	policy.PoolSize = loadReplicas
+	for _, factor := range []float64{1, 1.5} {
+		t.Run(fmt.Sprintf("rate %.1f", factor), func(t *testing.T) {
+			var got, base []*caller
+			for seed := range uint64(6) {
+				p := &pooled{Planner: planner(pools*loadReplicas, placement.WithPolicy(policy))}
+				got = append(got, runOn(pools*loadReplicas, p, seed, pools*factor)...)
+				base = append(base, runOn(pools*loadReplicas, newLeastInFlight(pools*loadReplicas), seed, pools*factor)...)
+			}
+			ours, theirs := sum(got), sum(base)
+			t.Logf("divided         %+v", ours)
+			t.Logf("least in flight %+v", theirs)
+			if ours.worth <= theirs.worth {
+				t.Errorf("worth %.3f, of the baseline %.3f", ours.worth, theirs.worth)
+			}
+			if ours.deadline > ours.callers/100 {
+				t.Errorf("%d of %d callers were held to their deadline", ours.deadline, ours.callers)
+			}
+			for _, k := range kinds {
+				checkSizes(t, k.name, ofKind(got, k.name))
+			}
+		})
+	}
+}
+
 // checkSizes checks that the larger prompts of a kind are answered at least half
 // as often as the kind.
 func checkSizes(t *testing.T, name string, list []*caller) {
