Heed a replica's word that it leaves or wants nothing for a time

A replica that leaves says so in all its answers, and a refusal may name a time in which the replica wants nothing from a node. Nothing in the code knew either. Change: both are decoded once in platform/. departures keeps the incarnations that leave; the view marks them against every later list, hubs pass them on with heartbeats as changes since a position, endings tell the coordinator at once. cooldown keeps who wants nothing, lets one request through at the end, and the placer is told to place around it. Both are checked again right before a request is sent. Ruled out: a new list revision for a departure (revisions are the store's). Before: requests went to such replicas until the store's list said so.

--- a/attempt.go
+++ b/attempt.go
@@ -57,6 +57,11 @@
 	NotRun bool
 	// Sealed tells a replica's answer from other bytes.
 	Sealed bool
+	// Leaving is the replica's word that it leaves.
+	Leaving bool
+	// Cooldown is how long a replica that refuses wants no requests from this node;
+	// zero when it does not say.
+	Cooldown time.Duration
 	// Culprit is the replica at fault when it is not the one that answers.
 	Culprit string
 	// Version is the version of the model that answers.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -47,10 +47,12 @@
 	self    string
 	owner   string
 	log     *slog.Logger
-	seq     atomic.Uint64
-	wake    chan struct{}
-	group   *errgroup.Group
-	cancel  context.CancelFunc
+	// departed is told of replicas that have told other nodes that they leave.
+	departed func(catkinspindle.Departure)
+	seq      atomic.Uint64
+	wake     chan struct{}
+	group    *errgroup.Group
+	cancel   context.CancelFunc
 
 	mu      sync.Mutex
 	open    map[string]placed
@@ -78,10 +80,18 @@
 	Age       time.Duration           `cbor:"3,keyasint"`
 }
 
+// Option changes a coordinator.
+type Option func(*Coordinator)
+
+// WithDepartures calls f for each replica that has told another node that it leaves.
+func WithDepartures(f func(catkinspindle.Departure)) Option {
+	return func(c *Coordinator) { c.departed = f }
+}
+
 // New returns a coordinator that places with planner when home names this
 // node for a job's pool or no other one that answers. suspect is told of a
 // coordinator that does not answer.
-func New(self catkinspindle.Fellow, planner *placement.Planner, peers catkinspindle.Peers, home func(catkinspindle.Pool) (catkinspindle.Fellow, bool), suspect func(catkinspindle.Fellow), log *slog.Logger) *Coordinator {
+func New(self catkinspindle.Fellow, planner *placement.Planner, peers catkinspindle.Peers, home func(catkinspindle.Pool) (catkinspindle.Fellow, bool), suspect func(catkinspindle.Fellow), log *slog.Logger, opts ...Option) *Coordinator {
 	c := &Coordinator{
 		planner: planner,
 		peers:   peers,
@@ -93,6 +103,11 @@
 		wake:    make(chan struct{}, 1),
 		open:    map[string]placed{},
 		pending: map[catkinspindle.Pool]news{},
+
+		departed: func(catkinspindle.Departure) {},
+	}
+	for _, opt := range opts {
+		opt(c)
 	}
 	peers.Handle(placeKind, c.handlePlace)
 	peers.Handle(reportKind, c.handleReport)
@@ -318,6 +333,9 @@
 	}
 	for _, e := range n.End {
 		c.planner.End(now, e)
+		if e.Departed != nil {
+			c.departed(*e.Departed)
+		}
 	}
 	return nil, nil
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -82,6 +82,7 @@
 	link      *link
 	ledger    *placement.Planner
 	suspected int
+	departed  []catkinspindle.Departure
 	stop      func()
 }
 
@@ -92,7 +93,8 @@
 	p := &pair{link: b, ledger: newPlanner()}
 	at := func(catkinspindle.Pool) (catkinspindle.Fellow, bool) { return home, true }
 	log := slog.New(slog.DiscardHandler)
-	first := coordinator.New(home, p.ledger, a, at, func(catkinspindle.Fellow) {}, log)
+	first := coordinator.New(home, p.ledger, a, at, func(catkinspindle.Fellow) {}, log,
+		coordinator.WithDepartures(func(d catkinspindle.Departure) { p.departed = append(p.departed, d) }))
 	p.node = coordinator.New(self, newPlanner(), b, at, func(catkinspindle.Fellow) { p.suspected++ }, log)
 	for _, c := range []*coordinator.Coordinator{first, p.node} {
 		if err := c.Start(context.Background()); err != nil {
@@ -257,3 +259,18 @@
 	l := &link{other: h.links[address]}
 	return l.Call(ctx, address, kind, req, resp)
 }
+
+// The coordinator hears with the endings which replicas leave.
+func TestDepartureIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := start(t)
+		defer p.stop()
+		got := p.node.Place(context.Background(), job())
+		d := catkinspindle.Departure{ID: got.Replica, Born: 3}
+		p.node.End(catkinspindle.Ending{Job: got.Job, Replica: got.Replica, Departed: &d})
+		time.Sleep(50 * time.Millisecond)
+		if diff := cmp.Diff([]catkinspindle.Departure{d}, p.departed); diff != "" {
+			t.Errorf("departures at the coordinator (-want +got):\n%s", diff)
+		}
+	})
+}
--- /dev/null
+++ b/departures/log_test.go
@@ -0,0 +1,81 @@
+package departures_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/departures"
+)
+
+var (
+	now = time.Unix(1000, 0)
+	a1  = catkinspindle.Departure{ID: "a", Born: 1}
+	b1  = catkinspindle.Departure{ID: "b", Born: 1}
+	c1  = catkinspindle.Departure{ID: "c", Born: 1}
+)
+
+// Another node is sent what it has not seen; what others have told is not passed on
+// as this node's own word.
+func TestSince(t *testing.T) {
+	l := departures.New()
+	l.Add(now, a1, true)
+	l.Add(now, b1, false)
+	if l.Add(now, a1, true) {
+		t.Error("a departure is new twice")
+	}
+	list, position := l.Since(0, false)
+	if diff := cmp.Diff([]catkinspindle.Departure{a1, b1}, list); diff != "" {
+		t.Errorf("all (-want +got):\n%s", diff)
+	}
+	own, _ := l.Since(0, true)
+	if diff := cmp.Diff([]catkinspindle.Departure{a1}, own); diff != "" {
+		t.Errorf("own (-want +got):\n%s", diff)
+	}
+	l.Add(now, c1, true)
+	list, _ = l.Since(position, false)
+	if diff := cmp.Diff([]catkinspindle.Departure{c1}, list); diff != "" {
+		t.Errorf("later ones (-want +got):\n%s", diff)
+	}
+}
+
+func TestPrune(t *testing.T) {
+	tests := map[string]struct {
+		listed map[string]catkinspindle.Replica
+		after  time.Duration
+		kept   bool
+	}{
+		"listed as ready":         {map[string]catkinspindle.Replica{"a": {ID: "a", Born: 1}}, time.Hour, true},
+		"listed as leaving":       {map[string]catkinspindle.Replica{"a": {ID: "a", Born: 1, Leaving: true}}, 0, false},
+		"a newer incarnation":     {map[string]catkinspindle.Replica{"a": {ID: "a", Born: 2}}, 0, false},
+		"an older incarnation":    {map[string]catkinspindle.Replica{"a": {ID: "a", Born: 0}}, time.Hour, true},
+		"not listed":              {nil, 0, true},
+		"not listed for a minute": {nil, 61 * time.Second, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := departures.New()
+			l.Add(now, a1, true)
+			l.Prune(now.Add(tt.after), tt.listed)
+			if got := l.Has(catkinspindle.Replica{ID: "a", Born: 1}); got != tt.kept {
+				t.Errorf("kept: %t, want %t", got, tt.kept)
+			}
+		})
+	}
+}
+
+func TestLogIsBounded(t *testing.T) {
+	l := departures.New()
+	for i := range 10_000 {
+		l.Add(now, catkinspindle.Departure{ID: fmt.Sprint(i)}, true)
+	}
+	if list, _ := l.Since(0, false); len(list) > 4096 {
+		t.Errorf("%d entries", len(list))
+	}
+	if l.Has(catkinspindle.Replica{ID: "0"}) || !l.Has(catkinspindle.Replica{ID: "9999"}) {
+		t.Error("the oldest entries are not the ones that are dropped")
+	}
+}
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -17,6 +17,12 @@
 	// when the hub is the coordinator: only its list counts.
 	LiveHash  uint64 `cbor:"4,keyasint"`
 	WantsLive bool   `cbor:"5,keyasint,omitempty"`
+	// Departures are those that replicas have told this node and the hub does not
+	// know; DeparturesSeen is this node's position in the log of the hub's incarnation
+	// Exchanged.
+	Departures     []catkinspindle.Departure `cbor:"6,keyasint,omitempty"`
+	DeparturesSeen uint64                    `cbor:"7,keyasint,omitempty"`
+	Exchanged      int64                     `cbor:"8,keyasint,omitempty"`
 }
 
 func (m beatMessage) toHub(coordinates bool) beatMessage {
@@ -43,9 +49,13 @@
 	Known bool `cbor:"9,keyasint,omitempty"`
 	// Blind is true when the hub has lost the store.
 	Blind bool `cbor:"7,keyasint,omitempty"`
+	// Departures lead this node's knowledge of the hub's log to DeparturesAt.
+	Departures   []catkinspindle.Departure `cbor:"8,keyasint,omitempty"`
+	DeparturesAt uint64                    `cbor:"10,keyasint,omitempty"`
 }
 
 func (f *Fleet) beat(ctx context.Context, to catkinspindle.Fellow, m beatMessage) {
+	told := f.addDepartures(to, &m)
 	a, err := f.sendBeat(ctx, to, m)
 	f.mu.Lock()
 	known, ok := f.known[to.Name]
@@ -75,11 +85,17 @@
 			known.Rank = max(rank, a.From.Rank)
 		}
 		known.Leaving = known.Leaving || a.From.Leaving
+		known.told, known.seen, known.exchanged = told, a.DeparturesAt, a.From.Incarnation
+		if m.Exchanged != a.From.Incarnation {
+			// What was told before has gone to another incarnation.
+			known.told = 0
+		}
 	}
 	if a.Live != nil && to.Name == f.home.Name {
 		f.adoptLive(*a.Live)
 	}
 	f.mu.Unlock()
+	f.hearDepartures(a.Departures, to.Name)
 	f.catchUp(ctx, to, a)
 	f.tell(ctx, to, a)
 }
@@ -154,6 +170,7 @@
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
+	f.hearDepartures(m.Departures, m.From.Name)
 	state := f.view.State()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -166,6 +183,11 @@
 	if m.WantsLive && m.LiveHash != f.live.hash {
 		a.Live = f.liveSince(m.LiveHash)
 	}
+	seen := m.DeparturesSeen
+	if m.Exchanged != f.self.Incarnation {
+		seen = 0
+	}
+	a.Departures, a.DeparturesAt = f.view.Departures(seen, false)
 	if state.ReplicasRevision > m.ReplicasRevision {
 		if changes, upTo, ok := f.view.Since(m.ReplicasRevision); ok {
 			a.Changes, a.ReplicasRevision, a.Known = changes, upTo, true
@@ -173,3 +195,24 @@
 	}
 	return a, nil
 }
+
+// addDepartures adds to a heartbeat what the hub does not know of the replicas that
+// leave, and returns the position in this node's log that the hub has then.
+func (f *Fleet) addDepartures(to catkinspindle.Fellow, m *beatMessage) (told uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known, ok := f.known[to.Name]; ok {
+		told, m.DeparturesSeen, m.Exchanged = known.told, known.seen, known.exchanged
+	}
+	m.Departures, told = f.view.Departures(told, true)
+	return told
+}
+
+// hearDepartures notes which replicas have told another node that they leave.
+func (f *Fleet) hearDepartures(list []catkinspindle.Departure, source string) {
+	for _, d := range list {
+		if f.view.Leave(d, false) {
+			f.log.Info("replica leaves", events.ReplicaChanged.Attr(), "replica", d.ID, "born", d.Born, "source", source)
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,10 @@
 	dead     bool
 	// blind is true when the hub has lost the store.
 	blind bool
+	// told and seen are how far this node's log of departures has been told to the
+	// incarnation exchanged of the hub, and the hub's to this node.
+	told, seen uint64
+	exchanged  int64
 }
 
 // Option changes a fleet.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -684,3 +684,49 @@
 		}
 	})
 }
+
+// What a replica has told one node reaches all others with the heartbeats, also when
+// every hub has lost the store, and a hub that has started again.
+func TestDepartureReachesAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 8)
+		defer func() { stop(t, nodes) }()
+		for _, n := range nodes {
+			n.setLost(true)
+			n.view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r", Born: 5}, "q": {ID: "q", Born: 1}}, 7, time.Time{})
+		}
+		time.Sleep(2 * time.Second)
+		check := func(id string) {
+			t.Helper()
+			for _, n := range nodes {
+				if !n.view.State().Replicas[id].Leaving {
+					t.Errorf("%s does not know that %s leaves", n.self.Name, id)
+				}
+			}
+		}
+		nodes[6].view.Leave(catkinspindle.Departure{ID: "r", Born: 5}, true)
+		time.Sleep(600 * time.Millisecond)
+		check("r")
+		if nodes[0].view.State().Replicas["q"].Leaving {
+			t.Error("another replica counts as leaving")
+		}
+
+		reborn := fellow(0, 2)
+		if err := nodes[0].Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		n := &node{self: reborn, view: view.New(nil)}
+		n.Fleet = fleet.New(reborn, port{net, reborn.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler))
+		n.Learn([]catkinspindle.Fellow{reborn, fellow(1, 1), fellow(2, 1), fellow(3, 1), fellow(4, 1)})
+		n.view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r", Born: 5}, "q": {ID: "q", Born: 1}}, 7, time.Time{})
+		nodes[0] = n
+		if err := n.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		check("r")
+		nodes[7].view.Leave(catkinspindle.Departure{ID: "q", Born: 1}, true)
+		time.Sleep(600 * time.Millisecond)
+		check("q")
+	})
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -146,24 +146,16 @@
 	began := time.Now()
 	e := catkinspindle.Ending{Job: p.Job, Replica: p.Replica}
 	x.replica = p.Replica
-	x.replicas = g.view.State().Replicas
-	replica, ok := x.replicas[p.Replica]
-	if !ok || replica.Service != x.service || replica.Leaving {
-		// The coordinator knows a replica that this node has not heard of, or does not
-		// know yet that it leaves.
-		e.Outcome = catkinspindle.OutcomeGivenUp
-		g.placer.End(e)
-		x.avoid = append(x.avoid, p.Replica)
-		if x.unknown++; x.unknown >= maxUnknown {
-			return false, x.fail(catkinspindle.ReasonNoBackend, "no replica is known to this node")
-		}
-		return false, nil
-	}
-	e.Outcome = catkinspindle.OutcomeFailed
+	e.Outcome = catkinspindle.OutcomeGivenUp
 	defer func() {
 		e.Total = time.Since(began)
 		g.placer.End(e)
 	}()
+	if _, ok := x.usable(p.Replica); !ok {
+		// The coordinator knows a replica that this node has not heard of, or does not
+		// know yet that it leaves.
+		return false, x.pass(e)
+	}
 	helpers, release, err := x.reserve(ctx, p)
 	if err != nil {
 		e.Outcome = catkinspindle.OutcomeRefused
@@ -177,6 +169,16 @@
 		return false, x.next(ctx, &e, culprit)
 	}
 	defer release()
+	// The replica may have begun to leave, or refused another request, meanwhile.
+	replica, ok := x.usable(p.Replica)
+	enters, probe := false, false
+	if ok {
+		enters, probe = g.cooldown.Enter(time.Now(), replica)
+	}
+	if !enters {
+		return false, x.pass(e)
+	}
+	e.Outcome = catkinspindle.OutcomeFailed
 	sent, avoid := x.sent+1, append(slices.Clone(x.avoid), p.Replica)
 	attemptCtx, stall := newStall(ctx, x.stallLimit(p), func() bool { return x.secure(ctx, sent, avoid) }, x.stay)
 	defer stall.stop()
@@ -189,6 +191,12 @@
 		Urgency:    p.Urgency,
 		Helpers:    helpers,
 	}, x.route.Repeat == catkinspindle.RepeatNever)
+	if err == nil {
+		x.heed(replica, answer, &e)
+	}
+	if probe {
+		g.cooldown.End(replica)
+	}
 	if err != nil {
 		failure := catkinspindle.AsFailure(err)
 		if failure.Verdict == catkinspindle.NotRun {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/cooldown"
 	"github.com/catkinspindle/catkinspindle/retries"
 	"github.com/catkinspindle/catkinspindle/routes"
 	"github.com/catkinspindle/catkinspindle/view"
@@ -72,6 +73,7 @@
 	metrics    metrics.Registry
 
 	patience *patience
+	cooldown *cooldown.Table
 	inFlight atomic.Int64
 	closing  atomic.Bool
 	refusing atomic.Bool
@@ -93,7 +95,7 @@
 
 // New returns a gateway.
 func New(v *view.View, p Placer, s Sender, k Keeper, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, keeper: k, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), patience: newPatience(), maxHeld: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, keeper: k, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), patience: newPatience(), cooldown: cooldown.New(), maxHeld: 64 << 20}
 	for _, opt := range opts {
 		opt(g)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/gateway"
@@ -36,6 +38,10 @@
 	silence time.Duration
 	// culprit is whom a refusal names.
 	culprit string
+	// leaving is the replica's word that it leaves, cooldown the time in which it
+	// wants nothing.
+	leaving  bool
+	cooldown time.Duration
 }
 
 // world is a placer and the replicas behind it.
@@ -44,6 +50,7 @@
 	steps    []step
 	attempts []catkinspindle.Attempt
 	endings  []catkinspindle.Outcome
+	departed []catkinspindle.Departure
 	culprits []string
 	avoided  [][]string
 	refusal  *catkinspindle.Placement
@@ -52,6 +59,8 @@
 	// names are the replicas that jobs are placed on, in their order; r1 to r3 when
 	// it is empty.
 	names []string
+	// delays are those of the next placements.
+	delays []time.Duration
 	// leaving is a replica that begins to leave while a placed request waits.
 	leaving string
 	view    *view.View
@@ -78,7 +87,11 @@
 			avoided = avoided || a == id
 		}
 		if !avoided {
-			return catkinspindle.Placement{Job: "j", Replica: id}
+			p := catkinspindle.Placement{Job: "j", Replica: id}
+			if len(w.delays) > 0 {
+				p.Delay, w.delays = w.delays[0], w.delays[1:]
+			}
+			return p
 		}
 	}
 	return catkinspindle.Placement{Reason: catkinspindle.ReasonNoBackend, RetryAfter: time.Second}
@@ -89,6 +102,9 @@
 	defer w.mu.Unlock()
 	w.endings = append(w.endings, e.Outcome)
 	w.culprits = append(w.culprits, e.Culprit)
+	if e.Departed != nil {
+		w.departed = append(w.departed, *e.Departed)
+	}
 }
 
 func (w *world) Send(ctx context.Context, _ catkinspindle.Envelope, a catkinspindle.Attempt, _ bool) (*catkinspindle.Answer, error) {
@@ -114,7 +130,7 @@
 		end = io.MultiReader(sleeping{ctx, s.silence}, strings.NewReader(s.rest))
 	}
 	return &catkinspindle.Answer{
-		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, Culprit: s.culprit, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
+		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, Culprit: s.culprit, Leaving: s.leaving, Cooldown: s.cooldown, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
 		Body:       io.NopCloser(io.MultiReader(strings.NewReader(s.body), end)),
 	}, nil
 }
@@ -402,6 +418,141 @@
 	}
 }
 
+// play serves a request in virtual time.
+func play(g *gateway.Gateway, path string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodPost, "http://h.example"+path, nil)
+	req.RequestURI = path
+	req.Header.Set("Attempt-Id", "a")
+	req.Header.Set("Authorization", "Bearer k")
+	answer := httptest.NewRecorder()
+	g.ServeHTTP(answer, req)
+	return answer
+}
+
+// reached returns the replicas that requests were sent to, in their order.
+func (w *world) reached() (ids []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.attempts {
+		ids = append(ids, a.Replica.ID)
+	}
+	return ids
+}
+
+// A replica that says in any answer that it leaves gets nothing more from this node,
+// whatever the list and the placer say, and the placer is told.
+func TestReplicaThatSaysItLeaves(t *testing.T) {
+	for name, s := range map[string]step{
+		"in a good answer": {status: 200, body: "fine", leaving: true},
+		"in a refusal":     {status: 503, notRun: true, leaving: true},
+		"in a failure":     {status: 500, leaving: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{steps: []step{s, okAnswer, okAnswer, okAnswer}}
+				g := build(w, w, 9, true)
+				play(g, "/any/")
+				for range 2 {
+					if answer := play(g, "/any/"); answer.Code != 200 {
+						t.Errorf("status %d", answer.Code)
+					}
+				}
+				ids := w.reached()
+				if ids[0] != "r1" || slices.Contains(ids[1:], "r1") {
+					t.Errorf("requests reached %v", ids)
+				}
+				if diff := cmp.Diff([]catkinspindle.Departure{{ID: "r1"}}, w.departed); diff != "" {
+					t.Errorf("departures told to the placer (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// The word of another replica that has the address is not the replica's.
+func TestLeavingIsNotAnothers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{steps: []step{{status: 421, notRun: true, leaving: true}, okAnswer, okAnswer}}
+		g := build(w, w, 9, true)
+		play(g, "/any/")
+		play(g, "/any/")
+		if diff := cmp.Diff([]string{"r1", "r2", "r1"}, w.reached()); diff != "" {
+			t.Errorf("replicas (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A replica that wants nothing for a time gets nothing in it, and one request at its
+// end; the placer is told to place around it.
+func TestReplicaThatWantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusal := step{status: 503, notRun: true, cooldown: 3 * time.Second}
+		w := &world{steps: []step{refusal, okAnswer, okAnswer, okAnswer, refusal, okAnswer, okAnswer}}
+		g := build(w, w, 9, true)
+		play(g, "/any/")
+		for range 2 {
+			time.Sleep(1400 * time.Millisecond)
+			play(g, "/any/")
+		}
+		if diff := cmp.Diff([]string{"r1", "r2", "r2", "r2"}, w.reached()); diff != "" {
+			t.Errorf("replicas in the time (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff([]string{"r1"}, w.avoided[len(w.avoided)-1]); diff != "" {
+			t.Errorf("replicas to avoid (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Second)
+		play(g, "/any/")
+		time.Sleep(time.Second)
+		play(g, "/any/")
+		if diff := cmp.Diff([]string{"r1", "r2", "r2"}, w.reached()[4:]); diff != "" {
+			t.Errorf("replicas after it (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A request that waits for memory when its replica asks for a time is sent elsewhere.
+func TestReplicaWantsNothingWhileTheRequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{steps: []step{{status: 503, notRun: true, cooldown: 9 * time.Second}, okAnswer, okAnswer}, delays: []time.Duration{time.Second}}
+		g := build(w, w, 9, true)
+		var group errgroup.Group
+		group.Go(func() error {
+			play(g, "/any/")
+			return nil
+		})
+		synctest.Wait()
+		play(g, "/any/")
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]string{"r1", "r2", "r2"}, w.reached()); diff != "" {
+			t.Errorf("replicas (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// When no replica wants anything the caller is told at once when the first one will.
+func TestNoReplicaWantsAnything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var steps []step
+		for i := range 3 {
+			steps = append(steps, step{status: 503, notRun: true, cooldown: time.Duration(4+i) * time.Second})
+		}
+		w := &world{steps: steps}
+		g := build(w, w, 9, true)
+		play(g, "/any/")
+		play(g, "/any/")
+		began := time.Now()
+		answer := play(g, "/any/")
+		if answer.Code != 503 || answer.Header().Get("Retry-After") != "4.00" || time.Since(began) > 0 {
+			t.Errorf("status %d, Retry-After %q after %v", answer.Code, answer.Header().Get("Retry-After"), time.Since(began))
+		}
+		if diff := cmp.Diff(3, len(w.attempts)); diff != "" {
+			t.Errorf("attempts (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // While many replicas start or leave at once, a job is placed on some that this node
 // does not know yet, or knows to be leaving; it goes to the next ones then.
 func TestReplicasThatAreNotKnownYet(t *testing.T) {
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/reservations"
 )
 
@@ -21,7 +24,11 @@
 // job has the request placed.
 func (x *exchange) job(ctx context.Context, avoid []string, again bool) catkinspindle.Placement {
 	now := time.Now()
-	return x.gateway.placer.Place(ctx, catkinspindle.Job{
+	closed, soonest := x.gateway.cooldown.Closed(now, x.service)
+	if len(closed) > 0 {
+		avoid = slices.Concat(avoid, closed)
+	}
+	p := x.gateway.placer.Place(ctx, catkinspindle.Job{
 		Service:    x.service,
 		Prompt:     x.envelope.PromptTokens,
 		Answer:     x.envelope.AnswerTokens,
@@ -34,6 +41,46 @@
 		Again:      again,
 		DataCentre: x.gateway.dataCentre,
 	})
+	if p.Refused() && p.Reason == catkinspindle.ReasonNoBackend && len(closed) > 0 {
+		p.RetryAfter = max(p.RetryAfter, soonest)
+	}
+	return p
+}
+
+// usable returns a placed replica if requests may go to it now, by what this node
+// has heard of it.
+func (x *exchange) usable(id string) (catkinspindle.Replica, bool) {
+	x.replicas = x.gateway.view.State().Replicas
+	r, ok := x.replicas[id]
+	return r, ok && r.Service == x.service && !r.Leaving
+}
+
+// pass gives a placement back that this node cannot use, and asks for the next one.
+func (x *exchange) pass(e catkinspindle.Ending) *catkinspindle.Failure {
+	x.avoid = append(x.avoid, e.Replica)
+	if x.unknown++; x.unknown >= maxUnknown {
+		return x.fail(catkinspindle.ReasonNoBackend, "no replica is known to this node")
+	}
+	return nil
+}
+
+// heed notes what a replica's answer says beside the answer itself: that it leaves,
+// or that it wants nothing for a time.
+func (x *exchange) heed(r catkinspindle.Replica, answer *catkinspindle.Answer, e *catkinspindle.Ending) {
+	g := x.gateway
+	if answer.Cooldown > 0 {
+		g.cooldown.Begin(time.Now(), r, answer.Cooldown)
+		g.log.Info("replica wants no requests", events.ReplicaChanged.Attr(), "request", x.envelope.ID, "replica", r.ID, "cooldown", answer.Cooldown)
+	}
+	if !answer.Leaving || answer.Status == http.StatusMisdirectedRequest {
+		// Another replica at the address speaks for itself only.
+		return
+	}
+	d := r.Departure()
+	e.Departed = &d
+	if g.view.Leave(d, true) {
+		g.log.Info("replica leaves", events.ReplicaChanged.Attr(), "request", x.envelope.ID, "replica", r.ID, "born", r.Born, "source", "answer")
+	}
 }
 
 // secure finds another replica for a request whose present one is silent. sent
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -99,7 +99,7 @@
 	}
 	n.planner = placement.New()
 	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics))
-	n.keeper = reservations.New(platform.NewOrders(), n.log)
+	n.keeper = reservations.New(platform.NewOrders(platform.WithLeaving(n.replicaLeaves)), n.log)
 	n.budget = retries.New(s.Retry, 1)
 	n.view = view.New(n.viewChanged)
 	n.gateway = gateway.New(n.view, n, n.replicas, n.keeper, n.budget,
@@ -151,7 +151,8 @@
 		fleet.WithCoordinatorChange(n.coordinatorChanged),
 		fleet.WithHubsChange(func() { n.coordinator.AnnounceDivided() }),
 		fleet.WithDeath(func(f catkinspindle.Fellow) { n.coordinator.Bury(f) }))
-	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.fleet.Suspect, n.log)
+	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.fleet.Suspect, n.log,
+		coordinator.WithDepartures(func(d catkinspindle.Departure) { n.view.Leave(d, false) }))
 	// A predecessor that is still ending may hold the address.
 	err = n.persist(ctx, "address of peers", func() error { return n.transport.Start(ctx) })
 	if err != nil {
@@ -276,6 +277,13 @@
 	n.replicas.Retain(s.Replicas)
 }
 
+// replicaLeaves notes a replica that has told this node that it leaves.
+func (n *Node) replicaLeaves(r catkinspindle.Replica) {
+	if n.view.Leave(r.Departure(), true) {
+		n.log.Info("replica leaves", events.ReplicaChanged.Attr(), "replica", r.ID, "born", r.Born, "source", "order")
+	}
+}
+
 func (n *Node) coordinatorChanged(catkinspindle.Fellow) { n.coordinator.Announce() }
 
 // Place implements gateway.Placer.
--- a/gatewaynode/site_test.go
+++ b/gatewaynode/site_test.go
@@ -183,6 +183,86 @@
 	})
 }
 
+// A replica that says in its answers that it leaves gets nothing more from any node,
+// also while the store is away and calls it ready, until it starts again.
+func TestReplicaLeavesByItsOwnWord(t *testing.T) {
+	const leaving = "app-0"
+	s := start(t, 3)
+	ctx := context.Background()
+	s.Store.SetFaults(store.Faults{Down: true})
+	s.App[0].SetFaults(replica.Faults{Leaving: true})
+	asked := 0
+	ask := func(node int) {
+		t.Helper()
+		asked++
+		status, _, err := s.Ask(ctx, s.Callers(node), fmt.Sprintf("read-%d", asked), http.MethodGet, "/read/x", site.Key, 0)
+		if err != nil || status != 200 {
+			t.Errorf("status %d, error %v", status, err)
+		}
+	}
+	await(t, "node 0 has an answer of the leaving replica", func() bool {
+		ask(0)
+		return len(s.App[0].Arrivals()) > 0
+	})
+	arrived := len(s.App[0].Arrivals())
+	for range 20 {
+		ask(0)
+	}
+	if diff := cmp.Diff(arrived, len(s.App[0].Arrivals())); diff != "" {
+		t.Errorf("requests at the leaving replica (-want +got):\n%s", diff)
+	}
+	await(t, "the other nodes leave it alone", func() bool {
+		before := len(s.App[0].Arrivals())
+		for range 10 {
+			ask(1)
+			ask(2)
+		}
+		return len(s.App[0].Arrivals()) == before
+	})
+	s.App[0].SetFaults(replica.Faults{})
+	s.Store.SetFaults(store.Faults{})
+	s.Rebirth(leaving)
+	await(t, "the replica is used again after its start", func() bool {
+		before := len(s.App[0].Arrivals())
+		for i := range 3 {
+			ask(i)
+		}
+		return len(s.App[0].Arrivals()) > before
+	})
+}
+
+// A replica that refuses and names a time gets nothing from that node in it.
+func TestReplicaThatNamesATime(t *testing.T) {
+	const cooldown = 1500 * time.Millisecond
+	s := start(t, 1)
+	ctx := context.Background()
+	for _, r := range s.App {
+		r.SetFaults(replica.Faults{Refuse: 1, Cooldown: cooldown})
+	}
+	began := time.Now()
+	for n := 0; time.Since(began) < 3*cooldown; n++ {
+		if _, _, err := s.Ask(ctx, s.Callers(0), fmt.Sprintf("read-%d", n), http.MethodGet, "/read/x", site.Key, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, r := range s.App {
+		all := r.Arrivals()
+		if len(all) < 3 {
+			t.Fatalf("app-%d: %d requests in all", i, len(all))
+		}
+		// The refusal comes right after the arrival of the refused request.
+		within := 0
+		for _, a := range all[1:] {
+			if a.At.Sub(all[0].At) < cooldown {
+				within++
+			}
+		}
+		if within > 0 {
+			t.Errorf("app-%d: %d requests within its time", i, within)
+		}
+	}
+}
+
 // A key that is revoked while the store refuses a node is refused there too, and
 // stays refused when the store takes the node's calls again.
 func TestKeyRevokedWhileCutOff(t *testing.T) {
--- a/placement.go
+++ b/placement.go
@@ -107,6 +107,8 @@
 	Total time.Duration `cbor:"5,keyasint,omitempty"`
 	// Culprit is the replica that the failure names, when it is another one.
 	Culprit string `cbor:"6,keyasint,omitempty"`
+	// Departed is set when the replica has said that it leaves.
+	Departed *Departure `cbor:"7,keyasint,omitempty"`
 }
 
 // Placer decides which replica serves a job.
--- a/route.go
+++ b/route.go
@@ -128,6 +128,20 @@
 	return r.ID == o.ID && r.Born == o.Born && r.Address == o.Address
 }
 
+// Departure names an incarnation of a replica that has said that it leaves. The
+// replica's word counts whatever the store says; a later incarnation under the same
+// ID is another replica.
+type Departure struct {
+	ID   string `cbor:"1,keyasint"`
+	Born int64  `cbor:"2,keyasint"`
+}
+
+// Of reports whether r is the incarnation that leaves.
+func (d Departure) Of(r Replica) bool { return d.ID == r.ID && d.Born == r.Born }
+
+// Departure returns r's.
+func (r Replica) Departure() Departure { return Departure{ID: r.ID, Born: r.Born} }
+
 // Envelope is a request of any interface, reduced to what routing, placing and
 // forwarding need. The body is read before a replica is chosen, so that a slow
 // caller holds no slot and an attempt can be repeated.
--- a/view/view.go
+++ b/view/view.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/departures"
 	"github.com/catkinspindle/catkinspindle/routes"
 )
 
@@ -43,6 +44,8 @@
 	floor   int64
 	// known is closed when the first configuration is known.
 	known chan struct{}
+	// departures are the replicas that have said themselves that they leave.
+	departures *departures.Log
 }
 
 // maxRecorded bounds the changes and records that are kept for other nodes. It
@@ -57,7 +60,7 @@
 
 // New returns an empty view that calls changed after each change.
 func New(changed func(*State)) *View {
-	v := &View{changed: changed, missing: map[string]time.Time{}, known: make(chan struct{})}
+	v := &View{changed: changed, missing: map[string]time.Time{}, known: make(chan struct{}), departures: departures.New()}
 	v.state.Store(&State{Replicas: map[string]catkinspindle.Replica{}})
 	return v
 }
@@ -122,12 +125,47 @@
 			}
 		}
 	}
+	v.departures.Prune(time.Now(), next)
+	v.markLeaving(next)
 	s.Replicas, s.ReplicasRevision = next, revision
 	v.records, v.floor = nil, revision
 	v.publish(&s)
 	return true
 }
 
+// Leave notes that an incarnation of a replica has said that it leaves, and reports
+// whether that is new. own is true when it has told this node.
+func (v *View) Leave(d catkinspindle.Departure, own bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.departures.Add(time.Now(), d, own) {
+		return false
+	}
+	s := *v.state.Load()
+	if r, ok := s.Replicas[d.ID]; ok && d.Of(r) && !r.Leaving {
+		s.Replicas = maps.Clone(s.Replicas)
+		v.markLeaving(s.Replicas)
+		v.publish(&s)
+	}
+	return true
+}
+
+// Departures returns the replicas that have said that they leave, after a position
+// of this node's log of them; with own, those that have told this node.
+func (v *View) Departures(position uint64, own bool) ([]catkinspindle.Departure, uint64) {
+	return v.departures.Since(position, own)
+}
+
+// markLeaving marks the replicas that have said that they leave.
+func (v *View) markLeaving(list map[string]catkinspindle.Replica) {
+	for id, r := range list {
+		if !r.Leaving && v.departures.Has(r) {
+			r.Leaving = true
+			list[id] = r
+		}
+	}
+}
+
 // Change is a change of one replica.
 type Change struct {
 	Replica catkinspindle.Replica `cbor:"1,keyasint"`
@@ -193,6 +231,8 @@
 			delete(next, c.Replica.ID)
 		}
 	}
+	v.departures.Prune(time.Now(), next)
+	v.markLeaving(next)
 	s.Replicas, s.ReplicasRevision = next, revision
 	v.record(changes, revision)
 	v.publish(&s)
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -145,3 +145,38 @@
 		})
 	}
 }
+
+// A replica's own word that it leaves stands against every later list, also when it
+// comes before the list, until another incarnation has its ID.
+func TestDepartureStandsAgainstTheList(t *testing.T) {
+	departed := func(v *view.View) bool { return v.State().Replicas["a"].Leaving }
+	list := func(born int64) map[string]catkinspindle.Replica {
+		r := replica("a")
+		r.Born = born
+		return map[string]catkinspindle.Replica{"a": r}
+	}
+	v := view.New(nil)
+	v.Leave(catkinspindle.Departure{ID: "a", Born: 2}, false)
+	v.SetReplicas(list(1), 1, time.Time{})
+	if departed(v) {
+		t.Error("the departure of a later incarnation counts for an earlier one")
+	}
+	v.SetReplicas(list(2), 2, time.Time{})
+	if !departed(v) {
+		t.Error("a departure that came before the list is forgotten")
+	}
+	v.ChangeReplicas([]view.Change{{Replica: list(2)["a"]}}, 3, time.Time{})
+	if !departed(v) {
+		t.Error("a change of the entry makes the replica ready")
+	}
+	v.ChangeReplicas([]view.Change{{Replica: list(3)["a"]}}, 4, time.Time{})
+	if departed(v) {
+		t.Error("the next incarnation counts as leaving")
+	}
+	changes := 0
+	v = view.New(func(*view.State) { changes++ })
+	v.SetReplicas(list(1), 1, time.Time{})
+	if !v.Leave(replica("a").Departure(), true) || v.Leave(replica("a").Departure(), true) || !departed(v) || changes != 2 {
+		t.Errorf("leaving: %t, %d changes published", departed(v), changes)
+	}
+}
