Let few nodes at a time look for a dark store

Change: six nodes at a time look once, in turns of 400 ms, until two watch in place of the hubs. The number of calls does not depend on the number of nodes.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -23,6 +23,8 @@
 	Departures     []catkinspindle.Departure `cbor:"6,keyasint,omitempty"`
 	DeparturesSeen uint64                    `cbor:"7,keyasint,omitempty"`
 	Exchanged      int64                     `cbor:"8,keyasint,omitempty"`
+	// Watches is true when the node follows the store in place of the hubs.
+	Watches bool `cbor:"9,keyasint,omitempty"`
 }
 
 func (m beatMessage) toHub(coordinates bool) beatMessage {
@@ -52,6 +54,8 @@
 	// Departures lead this node's knowledge of the hub's log to DeparturesAt.
 	Departures   []catkinspindle.Departure `cbor:"8,keyasint,omitempty"`
 	DeparturesAt uint64                    `cbor:"10,keyasint,omitempty"`
+	// Watchers is how many nodes have told the hub that they watch in place of the hubs.
+	Watchers int `cbor:"11,keyasint,omitempty"`
 }
 
 func (f *Fleet) beat(ctx context.Context, to catkinspindle.Fellow, m beatMessage) {
@@ -61,6 +65,7 @@
 	known, ok := f.known[to.Name]
 	if err != nil {
 		if ok {
+			known.watchers = 0
 			if known.missed++; known.missed >= missedBeats {
 				known.shunned = time.Now().Add(shun)
 				known.missed = 0
@@ -72,7 +77,7 @@
 	}
 	if ok {
 		known.missed = 0
-		known.blind = a.Blind
+		known.blind, known.watchers = a.Blind, a.Watchers
 		fresh := known.answered.IsZero()
 		known.answered = time.Now()
 		if fresh {
@@ -178,8 +183,16 @@
 	if known, ok := f.known[m.From.Name]; ok && m.From.Name != f.self.Name && m.From.Incarnation == known.Incarnation {
 		known.heard = time.Now()
 		known.shunned = time.Time{}
+		if m.Watches {
+			known.watched = known.heard
+		}
 	}
 	a := beatAnswer{From: f.self, ReplicasRevision: state.ReplicasRevision, ConfigVersion: state.Version(), Blind: f.watching == nil || f.blind()}
+	for _, n := range f.known {
+		if time.Since(n.watched) < silence {
+			a.Watchers++
+		}
+	}
 	if m.WantsLive && m.LiveHash != f.live.hash {
 		a.Live = f.liveSince(m.LiveHash)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,10 +38,11 @@
 	// firstAnswer is the time in which a new node waits for a hub before it
 	// watches the store itself.
 	firstAnswer = 400 * time.Millisecond
-	// ring is the time after which more nodes take up the watch while all hubs
-	// are cut off from the store, ringNodes their number at first; it doubles.
-	ring      = 400 * time.Millisecond
-	ringNodes = 3
+	// ring is the time after which the next ringNodes nodes look whether they reach the
+	// store while all hubs are cut off from it, until ringWatchers of them watch it.
+	ring         = 400 * time.Millisecond
+	ringNodes    = 6
+	ringWatchers = 2
 
 	beatKind = "beat"
 	newsKind = "news"
@@ -84,10 +85,16 @@
 	blind   func() bool
 	// blindSince is since when all hubs have lost the store.
 	blindSince time.Time
-	onHome     func(catkinspindle.Fellow)
-	onHubs     func()
-	onDeath    func(catkinspindle.Fellow)
-	watching   context.CancelFunc
+	// probe reports whether this node reaches the store. probed is the last step of the
+	// ring in which it was asked, plus one; inPlace is true while this node watches in
+	// place of the hubs.
+	probe    func(context.Context) bool
+	probed   int
+	inPlace  bool
+	onHome   func(catkinspindle.Fellow)
+	onHubs   func()
+	onDeath  func(catkinspindle.Fellow)
+	watching context.CancelFunc
 	// buried are incarnations that newer ones have replaced since the last turn.
 	buried []catkinspindle.Fellow
 }
@@ -105,8 +112,12 @@
 	// presumed is until when it counts as alive without a heartbeat.
 	presumed time.Time
 	dead     bool
-	// blind is true when the hub has lost the store.
-	blind bool
+	// blind is true when the hub has lost the store; watchers is how many other nodes
+	// watch it in place of the hubs, as far as the hub knows.
+	blind    bool
+	watchers int
+	// watched is when the node has last said that it watches the store.
+	watched time.Time
 	// told and seen are how far this node's log of departures has been told to the
 	// incarnation exchanged of the hub, and the hub's to this node.
 	told, seen uint64
@@ -131,6 +142,12 @@
 	return func(l *Fleet) { l.blind = f }
 }
 
+// WithProbe replaces the question whether this node reaches the store. It must be
+// answered within a step of the ring.
+func WithProbe(f func(context.Context) bool) Option {
+	return func(l *Fleet) { l.probe = f }
+}
+
 // WithDeath calls f when a node counts as dead.
 func WithDeath(f func(catkinspindle.Fellow)) Option {
 	return func(l *Fleet) { l.onDeath = f }
@@ -146,6 +163,7 @@
 		log:     log,
 		known:   map[string]*fellow{self.Name: {Fellow: self}},
 		blind:   func() bool { return false },
+		probe:   func(context.Context) bool { return true },
 		onHome:  func(catkinspindle.Fellow) {},
 		onHubs:  func() {},
 		onDeath: func(catkinspindle.Fellow) {},
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -122,6 +122,21 @@
 	watching bool
 	lost     bool
 	dead     []string
+	// unreachable is true when the node does not reach the store, whether it watches
+	// or not.
+	unreachable bool
+}
+
+func (n *node) reaches(context.Context) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.unreachable
+}
+
+func (n *node) setUnreachable() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unreachable = true
 }
 
 func (n *node) setLost(lost bool) {
@@ -148,7 +163,7 @@
 	return n.watching
 }
 
-func startNodes(t *testing.T, count int) (*network, []*node) {
+func startNodes(t *testing.T, count int, opts ...fleet.Option) (*network, []*node) {
 	t.Helper()
 	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
 	var (
@@ -160,7 +175,8 @@
 	}
 	for _, self := range fellows {
 		n := &node{self: self, view: view.New(nil)}
-		n.Fleet = fleet.New(self, port{net, self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler),
+		n.Fleet = fleet.New(self, port{net, self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler), append([]fleet.Option{
+			fleet.WithProbe(n.reaches),
 			fleet.WithBlindness(func() bool {
 				n.mu.Lock()
 				defer n.mu.Unlock()
@@ -170,7 +186,8 @@
 				n.mu.Lock()
 				defer n.mu.Unlock()
 				n.dead = append(n.dead, fmt.Sprintf("%s/%d", f.Name, f.Incarnation))
-			}))
+			}),
+		}, opts...)...)
 		n.Learn(fellows)
 		nodes = append(nodes, n)
 	}
@@ -386,6 +403,80 @@
 	})
 }
 
+// While the store is away for everybody, the nodes that look for it are as many a
+// second in a large fleet as in a small one, and nobody but the hubs watches.
+func TestDarkStoreIsAskedByFew(t *testing.T) {
+	for _, count := range []int{12, 60} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var probes atomic.Int64
+				_, nodes := startNodes(t, count, fleet.WithProbe(func(context.Context) bool {
+					probes.Add(1)
+					return false
+				}))
+				defer stop(t, nodes)
+				time.Sleep(2 * time.Second)
+				for _, n := range nodes {
+					n.setLost(true)
+				}
+				const away = 8 * time.Second
+				time.Sleep(away)
+				watching := 0
+				for _, n := range nodes {
+					if n.watches() {
+						watching++
+					}
+				}
+				if watching != 4 {
+					t.Errorf("%d nodes watch", watching)
+				}
+				// Six a step of 400 ms, and one more step for clocks that differ by a heartbeat.
+				if most := int64(6 * (away/(400*time.Millisecond) + 2)); probes.Load() > most || probes.Load() == 0 {
+					t.Errorf("%d probes in %v, want %d at most", probes.Load(), away, most)
+				}
+				nodes[0].setLost(false)
+				nodes[0].view.SetRouting(catkinspindle.Routing{Version: 9})
+				time.Sleep(600 * time.Millisecond)
+				for _, n := range nodes {
+					if v := n.view.State().Version(); v != 9 {
+						t.Errorf("%s has version %d after the store's return", n.self.Name, v)
+					}
+				}
+			})
+		})
+	}
+}
+
+// When only the last nodes reach the store they are found in turn, and what they
+// learn reaches everybody.
+func TestFewNodesReachTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startNodes(t, 30)
+		defer stop(t, nodes)
+		for _, n := range nodes[:28] {
+			n.setUnreachable()
+		}
+		time.Sleep(2 * time.Second)
+		for _, n := range nodes[:28] {
+			n.setLost(true)
+		}
+		// Five groups of six, one each 400 ms, after two heartbeats.
+		time.Sleep(2900 * time.Millisecond)
+		for _, n := range nodes[28:] {
+			if !n.watches() {
+				t.Fatalf("%s does not watch", n.self.Name)
+			}
+		}
+		nodes[29].view.SetRouting(catkinspindle.Routing{Version: 9})
+		time.Sleep(600 * time.Millisecond)
+		for _, n := range nodes {
+			if v := n.view.State().Version(); v != 9 {
+				t.Errorf("%s has version %d", n.self.Name, v)
+			}
+		}
+	})
+}
+
 // When the coordinator falls silent the next one takes over, and a third one
 // takes up the watch.
 func TestNextCoordinator(t *testing.T) {
@@ -711,17 +802,23 @@
 			t.Error("another replica counts as leaving")
 		}
 
-		reborn := fellow(0, 2)
-		if err := nodes[0].Stop(context.Background()); err != nil {
-			t.Fatal(err)
+		// All hubs start again and know nothing; the node that was told tells them.
+		for i := range 4 {
+			if err := nodes[i].Stop(context.Background()); err != nil {
+				t.Fatal(err)
+			}
 		}
-		n := &node{self: reborn, view: view.New(nil)}
-		n.Fleet = fleet.New(reborn, port{net, reborn.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler))
-		n.Learn([]catkinspindle.Fellow{reborn, fellow(1, 1), fellow(2, 1), fellow(3, 1), fellow(4, 1)})
-		n.view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r", Born: 5}, "q": {ID: "q", Born: 1}}, 7, time.Time{})
-		nodes[0] = n
-		if err := n.Start(context.Background()); err != nil {
-			t.Fatal(err)
+		for i := range 4 {
+			n := &node{self: fellow(i, 2), view: view.New(nil)}
+			n.Fleet = fleet.New(n.self, port{net, n.self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler))
+			n.Learn([]catkinspindle.Fellow{fellow(0, 2), fellow(1, 2), fellow(2, 2), fellow(3, 2)})
+			n.view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r", Born: 5}, "q": {ID: "q", Born: 1}}, 7, time.Time{})
+			nodes[i] = n
+		}
+		for i := range 4 {
+			if err := nodes[i].Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
 		}
 		time.Sleep(time.Second)
 		check("r")
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -36,8 +36,9 @@
 	}
 	sighted = sighted || (isHub && !f.blind())
 	f.setBlindSince(now, !sighted && (heard || isHub))
-	needed := isHub || f.inRing(now) || (!heard && now.Sub(f.started) > firstAnswer)
-	message := beatMessage{From: f.self, ConfigVersion: f.view.State().Version(), ReplicasRevision: f.view.State().ReplicasRevision}
+	f.goRound(ctx, now, isHub)
+	needed := isHub || f.inPlace || (!heard && now.Sub(f.started) > firstAnswer)
+	message := beatMessage{From: f.self, Watches: f.inPlace && f.watching != nil && !f.blind(), ConfigVersion: f.view.State().Version(), ReplicasRevision: f.view.State().ReplicasRevision}
 	lost := append(f.judge(now, ranked, isHub), f.buried...)
 	f.buried = nil
 	home := f.home.Name
@@ -65,20 +66,60 @@
 	}
 }
 
-// inRing reports whether this node watches in place of hubs that have lost the
-// store: few nodes at first, more the longer it lasts.
-func (f *Fleet) inRing(now time.Time) bool {
+// goRound has this node look for the store when its turn comes while all hubs have lost
+// it. A few nodes look at a time, so that an outage of the store costs the same number
+// of calls whatever the number of nodes.
+func (f *Fleet) goRound(ctx context.Context, now time.Time, isHub bool) {
+	if f.blindSince.IsZero() || isHub || (f.inPlace && f.watching != nil && f.blind()) {
+		f.inPlace = false
+	}
 	if f.blindSince.IsZero() {
-		return false
+		f.probed = 0
+		return
+	}
+	if isHub || f.inPlace || f.watchers() >= ringWatchers {
+		return
 	}
-	count := hubs + ringNodes<<min(20, int(now.Sub(f.blindSince)/ring))
-	place := 0
+	step := int(now.Sub(f.blindSince) / ring)
+	if f.probed > step || !f.hasTurn(step) {
+		return
+	}
+	f.probed = step + 1
+	f.group.Go(func() error {
+		probeCtx, cancel := context.WithTimeout(ctx, ring)
+		defer cancel()
+		if f.probe(probeCtx) {
+			f.mu.Lock()
+			f.inPlace = true
+			f.mu.Unlock()
+			f.setWatching(ctx, true)
+		}
+		return nil
+	})
+}
+
+// watchers returns how many nodes watch in place of the hubs.
+func (f *Fleet) watchers() (n int) {
+	for _, k := range f.known {
+		n = max(n, k.watchers)
+	}
+	return n
+}
+
+// hasTurn reports whether a step of the ring is this node's.
+func (f *Fleet) hasTurn(step int) bool {
+	place, others := -hubs, -hubs
 	for _, n := range f.known {
-		if n.Name != f.self.Name && !n.dead && n.order(f.known[f.self.Name]) < 0 {
+		if n.dead {
+			continue
+		}
+		others++
+		if n.Name != f.self.Name && n.order(f.known[f.self.Name]) < 0 {
 			place++
 		}
 	}
-	return place < count
+	groups := max(1, (others+ringNodes-1)/ringNodes)
+	return max(0, place)/ringNodes == step%groups
 }
 
 // hubs returns the hubs in their order: the strongest VMs, of equal ones those
