Take a first view from the store, and wait for it

Change: a node reads configuration and replicas itself at its start, with reads that may be old and cost a tenth; requests wait for a first configuration for up to 0.15 of the caller's time as long as no call to the store has failed. Watches leave 150 ms (nodes: 500 ms) between calls, and joining reads secret and nodes at the low price. Test: TestFirstConfigurationIsAwaited, TestTakenPeerAddress, TestSeriesOfChangesTakesFewCalls.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,9 +29,15 @@
 	// notReadyRetry is sent by a node that knows no configuration yet: the
 	// store has been away at its start, and is away for seconds.
 	notReadyRetry = 2500 * time.Millisecond
-	// notReadyWait is how long a request waits for the first configuration,
-	// which a node that can reach the store or its peers has at once.
-	notReadyWait = 250 * time.Millisecond
+	// awaitedRetry is sent by a node whose first configuration is on its way.
+	awaitedRetry = 300 * time.Millisecond
+	// notReadyWait bounds how long a request waits for the first configuration, which
+	// a node that reaches the store or its peers has within a second of its start;
+	// notReadyShare is the part of the caller's time that it may take, and
+	// notReadyStep the time in which a failure of the store ends the wait.
+	notReadyWait  = time.Second
+	notReadyShare = 0.15
+	notReadyStep  = 50 * time.Millisecond
 	// stoppingRetry is sent when a request comes too late during a stop.
 	stoppingRetry = 100 * time.Millisecond
 	// readChunk is the size in bytes by which a body's buffer grows.
@@ -40,7 +46,9 @@
 
 // Codec reads what the callers' interface says.
 type Codec struct {
-	Key     func(*http.Request) (string, bool)
+	Key func(*http.Request) (string, bool)
+	// Timeout is the time that the caller waits; zero when it does not say.
+	Timeout func(*http.Request) time.Duration
 	Request func(r *http.Request, body []byte) (catkinspindle.Envelope, error)
 }
 
@@ -72,6 +80,8 @@
 	log        *slog.Logger
 	metrics    metrics.Registry
 
+	// awaited reports whether a first configuration may be near.
+	awaited  func() bool
 	patience *patience
 	cooldown *cooldown.Table
 	inFlight atomic.Int64
@@ -93,9 +103,13 @@
 // WithMaxHeld bounds the bytes of bodies in memory.
 func WithMaxHeld(n int64) Option { return func(g *Gateway) { g.maxHeld = n } }
 
+// WithAwaited tells whether a first configuration may be near: requests wait for it
+// then for a while. Without it they do.
+func WithAwaited(f func() bool) Option { return func(g *Gateway) { g.awaited = f } }
+
 // New returns a gateway.
 func New(v *view.View, p Placer, s Sender, k Keeper, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, keeper: k, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), patience: newPatience(), cooldown: cooldown.New(), maxHeld: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, keeper: k, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), awaited: func() bool { return true }, patience: newPatience(), cooldown: cooldown.New(), maxHeld: 64 << 20}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -129,10 +143,14 @@
 // admit finds out what the request is and reads its body.
 func (x *exchange) admit(r *http.Request) *catkinspindle.Failure {
 	g := x.gateway
-	state := g.view.Known(r.Context(), notReadyWait)
+	state := g.firstState(r)
 	x.version = state.Version()
 	if state.Table == nil {
-		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNotReady, "no configuration is known yet").WithRetryAfter(notReadyRetry)
+		after := notReadyRetry
+		if g.awaited() {
+			after = awaitedRetry
+		}
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNotReady, "no configuration is known yet").WithRetryAfter(after)
 	}
 	if g.refusing.Load() {
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "this node is stopping").WithRetryAfter(stoppingRetry)
@@ -178,6 +196,27 @@
 	return nil
 }
 
+// firstState returns the newest state. While no configuration is known and one may be
+// near it waits for it, for a part of the caller's time at most.
+func (g *Gateway) firstState(r *http.Request) *view.State {
+	state := g.view.State()
+	if state.Table != nil {
+		return state
+	}
+	limit := notReadyWait
+	if t := g.codec.Timeout(r); t > 0 {
+		limit = min(limit, time.Duration(notReadyShare*float64(t)))
+	}
+	for end := time.Now().Add(limit); state.Table == nil && r.Context().Err() == nil && g.awaited(); {
+		left := time.Until(end)
+		if left <= 0 {
+			break
+		}
+		state = g.view.Known(r.Context(), min(left, notReadyStep))
+	}
+	return state
+}
+
 var errHeld = errors.New("too many bytes of bodies are held")
 
 // readBody reads a body of at most limit bytes.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
@@ -24,6 +26,12 @@
 	"github.com/catkinspindle/catkinspindle/view"
 )
 
+// TestMain makes the metrics library start its ticker outside of virtual time.
+func TestMain(m *testing.M) {
+	metrics.NewMeter().Stop()
+	os.Exit(m.Run())
+}
+
 // step is what a replica does with one attempt.
 type step struct {
 	// err ends the attempt without an answer.
@@ -218,7 +226,7 @@
 }
 
 // build returns a gateway with replicas behind the placer w.
-func build(w *world, replicas gateway.Sender, allowance float64, known bool) *gateway.Gateway {
+func build(w *world, replicas gateway.Sender, allowance float64, known bool, opts ...gateway.Option) *gateway.Gateway {
 	v := view.New(nil)
 	if known {
 		v.SetRouting(routing())
@@ -230,7 +238,7 @@
 	v.SetReplicas(list, 1, time.Time{})
 	w.view = v
 	b := retries.New(catkinspindle.RetryAllowance{Window: 10 * time.Second, Floor: allowance}, 1)
-	return gateway.New(v, w, replicas, w, b, gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, slog.New(slog.DiscardHandler))
+	return gateway.New(v, w, replicas, w, b, gateway.Codec{Key: platform.Key, Timeout: platform.Timeout, Request: platform.DecodeRequest}, slog.New(slog.DiscardHandler), opts...)
 }
 
 func ask(t *testing.T, server *httptest.Server, path, key string, body string) (*http.Response, string, error) {
@@ -370,10 +378,7 @@
 				silent := step{status: 200, silent: true}
 				w := &world{steps: []step{silent, silent}}
 				g := build(w, w, 9, true)
-				req := httptest.NewRequest(http.MethodPost, "http://h.example"+tt.path, nil)
-				req.RequestURI = tt.path
-				req.Header.Set("Attempt-Id", "a")
-				req.Header.Set("Authorization", "Bearer k")
+				req := request(tt.path)
 				if tt.deadline != "" {
 					req.Header.Set("Deadline-Ms", tt.deadline)
 				}
@@ -418,12 +423,18 @@
 	}
 }
 
-// play serves a request in virtual time.
-func play(g *gateway.Gateway, path string) *httptest.ResponseRecorder {
+// request returns a request that is served without a connection.
+func request(path string) *http.Request {
 	req := httptest.NewRequest(http.MethodPost, "http://h.example"+path, nil)
 	req.RequestURI = path
 	req.Header.Set("Attempt-Id", "a")
 	req.Header.Set("Authorization", "Bearer k")
+	return req
+}
+
+// play serves a request in virtual time.
+func play(g *gateway.Gateway, path string) *httptest.ResponseRecorder {
+	req := request(path)
 	answer := httptest.NewRecorder()
 	g.ServeHTTP(answer, req)
 	return answer
@@ -647,6 +658,46 @@
 	}
 }
 
+// A request that comes before the first configuration waits for it while it may be
+// near, for a part of the caller's time, and is refused at once when the store fails.
+func TestFirstConfigurationIsAwaited(t *testing.T) {
+	tests := map[string]struct {
+		// comes is when the configuration does, fails when the store does.
+		comes, fails time.Duration
+		deadline     string
+		status       int
+		took         time.Duration
+		after        string
+	}{
+		"soon":                      {600 * time.Millisecond, time.Hour, "10000", 200, 600 * time.Millisecond, ""},
+		"too late":                  {3 * time.Second, time.Hour, "10000", 503, time.Second, "0.30"},
+		"too late for a short time": {600 * time.Millisecond, time.Hour, "1000", 503, 150 * time.Millisecond, "0.30"},
+		"the store fails":           {600 * time.Millisecond, 0, "10000", 503, 0, "2.50"},
+		"the store fails meanwhile": {600 * time.Millisecond, 100 * time.Millisecond, "10000", 503, 100 * time.Millisecond, "2.50"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{steps: []step{okAnswer}}
+				began := time.Now()
+				g := build(w, w, 9, false, gateway.WithAwaited(func() bool { return time.Since(began) < tt.fails }))
+				time.AfterFunc(tt.comes, func() { w.view.SetRouting(routing()) })
+				req := request("/any/")
+				req.Header.Set("Deadline-Ms", tt.deadline)
+				answer := httptest.NewRecorder()
+				g.ServeHTTP(answer, req)
+				if answer.Code != tt.status || answer.Header().Get("Retry-After") != tt.after {
+					t.Errorf("status %d, Retry-After %q", answer.Code, answer.Header().Get("Retry-After"))
+				}
+				if diff := cmp.Diff(tt.took, time.Since(began)); diff != "" {
+					t.Errorf("time to the answer (-want +got):\n%s", diff)
+				}
+				time.Sleep(time.Hour)
+			})
+		})
+	}
+}
+
 // A node without configuration refuses truthfully and says when to come back.
 func TestWithoutConfiguration(t *testing.T) {
 	_, server := serve(t, &world{}, 9, false)
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -63,6 +64,8 @@
 	fleet       *fleet.Fleet
 	coordinator *coordinator.Coordinator
 	blind       blindness
+	// storeFails is true after a call on the way into the fleet has failed.
+	storeFails atomic.Bool
 
 	group  *errgroup.Group
 	cancel context.CancelFunc
@@ -103,8 +106,9 @@
 	n.budget = retries.New(s.Retry, 1)
 	n.view = view.New(n.viewChanged)
 	n.gateway = gateway.New(n.view, n, n.replicas, n.keeper, n.budget,
-		gateway.Codec{Key: platform.Key, Request: platform.DecodeRequest}, n.log,
-		gateway.WithDataCentre(s.DataCentre), gateway.WithMetrics(n.metrics),
+		gateway.Codec{Key: platform.Key, Timeout: platform.Timeout, Request: platform.DecodeRequest}, n.log,
+		gateway.WithDataCentre(s.DataCentre), gateway.WithAwaited(func() bool { return !n.storeFails.Load() }),
+		gateway.WithMetrics(n.metrics),
 		gateway.WithMaxHeld(int64(heldShare*float64(s.MemoryMB)*(1<<20))))
 	kept := lifetime
 	if s.MaxLifetime > 0 {
@@ -124,6 +128,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.group = &errgroup.Group{}
+	n.group.Go(func() error {
+		if err := n.firstView(ctx); err != nil && ctx.Err() == nil {
+			n.storeFails.Store(true)
+			n.log.Warn("the store has shown nothing yet", events.PlatformFailed.Attr(), "error", err)
+		}
+		return nil
+	})
 	n.group.Go(func() error {
 		err := n.join(ctx)
 		if err != nil && ctx.Err() == nil {
@@ -148,6 +159,7 @@
 	n.transport = peers.NewWithTLS(n.settings.Peers, config, n.log)
 	n.fleet = fleet.New(n.self, n.transport, n.view, n.watch, n.log,
 		fleet.WithBlindness(n.blind.any),
+		fleet.WithProbe(n.reaches),
 		fleet.WithCoordinatorChange(n.coordinatorChanged),
 		fleet.WithHubsChange(func() { n.coordinator.AnnounceDivided() }),
 		fleet.WithDeath(func(f catkinspindle.Fellow) { n.coordinator.Bury(f) }))
@@ -173,9 +185,10 @@
 
 // enter lists the other nodes, once, since hubs tell of all changes, and registers
 // this one with a single write: when all nodes come back at once, the store's rate
-// of writes decides how soon they serve.
+// of writes decides how soon they serve. A list that is some seconds old names hubs
+// as well as a new one.
 func (n *Node) enter(ctx context.Context) error {
-	known, others, err := n.listNodes(ctx)
+	known, others, err := n.listNodes(ctx, n.store.Peek)
 	if err != nil {
 		return err
 	}
@@ -183,15 +196,18 @@
 		return err
 	}
 	// Nodes that start for the first time together miss each other in the first list.
-	_, _, err = n.listNodes(ctx)
+	_, _, err = n.listNodes(ctx, func(ctx context.Context, kind string) ([]catkinspindle.StoredObject, error) {
+		list, _, err := n.store.List(ctx, kind)
+		return list, err
+	})
 	return err
 }
 
 // listNodes learns of the registered nodes and returns whether this one and whether
 // others are among them.
-func (n *Node) listNodes(ctx context.Context) (known, others bool, err error) {
+func (n *Node) listNodes(ctx context.Context, list func(context.Context, string) ([]catkinspindle.StoredObject, error)) (known, others bool, err error) {
 	err = n.persist(ctx, "list of nodes", func() error {
-		objects, revision, err := n.store.List(ctx, platform.NodesKind)
+		objects, err := list(ctx, platform.NodesKind)
 		if err != nil {
 			return err
 		}
@@ -199,7 +215,7 @@
 			known = known || o.Name == n.self.Name
 			others = others || o.Name != n.self.Name
 		}
-		nodesSink{n}.Reset(objects, revision, time.Time{})
+		nodesSink{n}.Reset(objects, 0, time.Time{})
 		return nil
 	})
 	return known, others, err
@@ -216,7 +232,11 @@
 	}
 	var got secret
 	err = n.persist(ctx, "secret of the fleet", func() error {
-		there, _, err := n.store.List(ctx, keysKind)
+		// The secret never changes, so that an old answer is as good as a new one.
+		there, err := n.store.Peek(ctx, keysKind)
+		if err == nil && len(there) == 0 {
+			there, _, err = n.store.List(ctx, keysKind)
+		}
 		if err != nil {
 			return err
 		}
@@ -255,6 +275,7 @@
 func (n *Node) persist(ctx context.Context, what string, f func() error) error {
 	for {
 		err := f()
+		n.storeFails.Store(err != nil)
 		if err == nil {
 			return nil
 		}
--- a/gatewaynode/stop_test.go
+++ b/gatewaynode/stop_test.go
@@ -35,19 +35,27 @@
 	}
 }
 
-// startNode starts one more node of a site and returns whether it is ready.
-func startNode(t *testing.T, s *site.Site, peers string) func() bool {
+// freeAddress returns an address of an IP at which nobody listens.
+func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
-	ready, err := net.Listen("tcp", "127.0.0.2:0")
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := ready.Close(); err != nil { // The node listens there.
+	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
+	return l.Addr().String()
+}
+
+// startNode starts one more node of a site and returns where it takes requests and
+// whether it is ready.
+func startNode(t *testing.T, s *site.Site, peers string) (callers string, isReady func() bool) {
+	t.Helper()
+	callers, ready := freeAddress(t, "127.0.0.1"), freeAddress(t, "127.0.0.2")
 	n := gatewaynode.New(catkinspindle.GatewaySettings{
 		Name: "node", DataCentre: "dc", Store: s.StoreAddress(),
-		Callers: "127.0.0.1:0", Ready: ready.Addr().String(), Addresses: "127.0.0.3:0", Peers: peers, Metrics: "127.0.0.4:0",
+		Callers: callers, Ready: ready, Addresses: "127.0.0.3:0", Peers: peers, Metrics: "127.0.0.4:0",
 		CPUShare: 1, MemoryMB: 256, Grace: 10 * time.Millisecond,
 	}, slog.New(slog.DiscardHandler))
 	if err := n.Start(context.Background()); err != nil {
@@ -58,8 +66,8 @@
 			t.Error(err)
 		}
 	})
-	return func() bool {
-		resp, err := http.Get("http://" + ready.Addr().String() + platform.ReadyPath)
+	return callers, func() bool {
+		resp, err := http.Get("http://" + ready + platform.ReadyPath)
 		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
 	}
 }
@@ -71,8 +79,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	isReady := startNode(t, s, taken.LocalAddr().String())
-	time.Sleep(time.Second)
+	callers, isReady := startNode(t, s, taken.LocalAddr().String())
+	// It serves all the same by what the store has shown it.
+	await(t, "a request is answered", func() bool {
+		status, _, err := s.Ask(context.Background(), callers, "early", http.MethodGet, "/read/x", site.Key, 0)
+		return err == nil && status == 200
+	})
 	if isReady() {
 		t.Error("the node is ready without peers")
 	}
@@ -83,7 +95,8 @@
 }
 
 // A node takes one write to join a fleet, also after a kill: when all nodes come
-// back at once, the store's rate of writes decides how soon they serve.
+// back at once, the store's rate of writes decides how soon they serve. What it reads
+// may be old, which costs a fraction of other calls.
 func TestJoiningTakesOneWrite(t *testing.T) {
 	for name, killed := range map[string]bool{"new": false, "known from before a kill": true} {
 		t.Run(name, func(t *testing.T) {
@@ -92,11 +105,15 @@
 			if killed {
 				s.Store.Put(platform.NodesKind, before.Name, before)
 			}
-			writes := s.Store.Writes()
-			await(t, "the node is ready", startNode(t, s, "127.0.0.1:0"))
+			writes, peeks := s.Store.Writes(), s.Store.Peeks()
+			_, isReady := startNode(t, s, "127.0.0.1:0")
+			await(t, "the node is ready", isReady)
 			if diff := cmp.Diff(1, s.Store.Writes()-writes); diff != "" {
 				t.Errorf("writes (-want +got):\n%s", diff)
 			}
+			if diff := cmp.Diff(4, s.Store.Peeks()-peeks); diff != "" {
+				t.Errorf("cheap reads, of the secret, the nodes, the configuration and the replicas (-want +got):\n%s", diff)
+			}
 			var f catkinspindle.Fellow
 			spec, ok := s.Store.Get(platform.NodesKind, before.Name)
 			if !ok || json.Unmarshal(spec, &f) != nil || f.Incarnation <= before.Incarnation {
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -14,14 +15,55 @@
 	"github.com/catkinspindle/catkinspindle/watch"
 )
 
+const (
+	// watchPace and nodesPace are the shortest times between two calls that follow the
+	// configuration and the replicas, and the nodes. News of the former two must be in
+	// force within seconds; nodes also make themselves known with their heartbeats.
+	watchPace = 150 * time.Millisecond
+	nodesPace = 500 * time.Millisecond
+)
+
+// reaches reports whether the store answers this node.
+func (n *Node) reaches(ctx context.Context) bool {
+	_, err := n.store.Peek(ctx, keysKind)
+	return err == nil
+}
+
+// provisional is the revision of a list of replicas that may be old: every other list
+// replaces it.
+const provisional = 1
+
+// firstView reads what the store says of the configuration and the replicas, so that a
+// node serves before it has found the others. They bring it up to date later.
+func (n *Node) firstView(ctx context.Context) error {
+	var (
+		group             errgroup.Group
+		config, instances []catkinspindle.StoredObject
+	)
+	peek := func(kind string, into *[]catkinspindle.StoredObject) {
+		group.Go(func() (err error) {
+			*into, err = n.store.Peek(ctx, kind)
+			return err
+		})
+	}
+	peek(platform.ConfigKind, &config)
+	peek(platform.ReplicasKind, &instances)
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("first view: %w", err)
+	}
+	replicasSink{n}.Reset(instances, provisional, time.Time{})
+	configSink{n}.Reset(config, provisional, time.Time{})
+	return nil
+}
+
 // watch follows the store until ctx ends.
 func (n *Node) watch(ctx context.Context) {
 	n.log.Info("watching the store", events.PlatformRegained.Attr())
 	var group errgroup.Group
 	for _, f := range []*watch.Follower{
-		watch.New(n.store, platform.ConfigKind, platform.WatchWait, n.log, configSink{n}, watch.WithState(n.blind.set(platform.ConfigKind))),
-		watch.New(n.store, platform.ReplicasKind, platform.WatchWait, n.log, replicasSink{n}, watch.WithState(n.blind.set(platform.ReplicasKind))),
-		watch.New(n.store, platform.NodesKind, platform.NodesWatchWait, n.log, nodesSink{n}),
+		watch.New(n.store, platform.ConfigKind, platform.WatchWait, n.log, configSink{n}, watch.WithState(n.blind.set(platform.ConfigKind)), watch.WithPace(watchPace)),
+		watch.New(n.store, platform.ReplicasKind, platform.WatchWait, n.log, replicasSink{n}, watch.WithState(n.blind.set(platform.ReplicasKind)), watch.WithPace(watchPace)),
+		watch.New(n.store, platform.NodesKind, platform.NodesWatchWait, n.log, nodesSink{n}, watch.WithPace(nodesPace)),
 	} {
 		group.Go(func() error {
 			f.Run(ctx)
--- a/objects.go
+++ b/objects.go
@@ -27,6 +27,8 @@
 type ObjectStore interface {
 	// List returns all objects of a kind and the revision to watch from.
 	List(ctx context.Context, kind string) ([]StoredObject, int64, error)
+	// Peek is List for a fraction of the price; what it returns may be some seconds old.
+	Peek(ctx context.Context, kind string) ([]StoredObject, error)
 	// Changes waits for changes after a revision and returns them with the
 	// revision to go on from. It returns ErrHistoryGone when the objects must
 	// be listed again.
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -32,6 +32,7 @@
 	log   *slog.Logger
 	sink  Sink
 	state func(lost bool)
+	pace  time.Duration
 }
 
 // Option changes a follower.
@@ -40,6 +41,10 @@
 // WithState calls f when the store is lost and when it is regained.
 func WithState(f func(lost bool)) Option { return func(l *Follower) { l.state = f } }
 
+// WithPace leaves at least d between the beginnings of two calls, so that a series of
+// changes takes few of them. A change after a quiet time is not held up.
+func WithPace(d time.Duration) Option { return func(l *Follower) { l.pace = d } }
+
 // Sink receives what a follower learns. Until mayReturn, entries that are
 // missing may come back, because the store was away; it is zero otherwise.
 type Sink interface {
@@ -67,6 +72,7 @@
 		pause     = firstRetry
 	)
 	for ctx.Err() == nil {
+		began := time.Now()
 		var err error
 		if time.Now().After(mayReturn) {
 			mayReturn = time.Time{}
@@ -98,6 +104,7 @@
 				f.log.Info("store regained", events.PlatformRegained.Attr(), "kind", f.kind, "away", time.Since(downSince), "revision", revision)
 			}
 			downSince, pause = time.Time{}, firstRetry
+			sleep(ctx, time.Until(began.Add(f.pace)))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -115,10 +122,18 @@
 		// A watch that was cut may have missed nothing, but listing again also
 		// shows entries that went while the store was away.
 		listed = listed && time.Since(downSince) < outageLength
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		sleep(ctx, pause)
 		pause = min(maxRetry, 2*pause)
 	}
 }
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/watch/follower_test.go
+++ b/watch/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	down     bool
 	changes  []catkinspindle.ObjectChange
 	lists    int
+	calls    int
 }
 
 var errDown = errors.New("down")
@@ -45,6 +47,9 @@
 
 func (s *source) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]catkinspindle.ObjectChange, int64, error) {
 	end := time.Now().Add(wait)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		var list []catkinspindle.ObjectChange
@@ -110,12 +115,12 @@
 	}
 }
 
-func follow(t *testing.T, s *source) (*sink, func()) {
+func follow(t *testing.T, s *source, opts ...watch.Option) (*sink, func()) {
 	t.Helper()
 	k := &sink{known: map[string]bool{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	f := watch.New(s, "k", time.Second, slog.New(slog.DiscardHandler), k)
+	f := watch.New(s, "k", time.Second, slog.New(slog.DiscardHandler), k, opts...)
 	time.AfterFunc(0, func() {
 		f.Run(ctx)
 		close(done)
@@ -197,3 +202,36 @@
 		}
 	})
 }
+
+// A series of changes takes few calls, and none of them is late by more than the pace;
+// a change after a quiet time is heard at once.
+func TestSeriesOfChangesTakesFewCalls(t *testing.T) {
+	const pace = 150 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{objects: map[string]bool{}, revision: 1}
+		k, stop := follow(t, s, watch.WithPace(pace))
+		defer stop()
+		time.Sleep(700 * time.Millisecond)
+		s.mu.Lock()
+		s.calls = 0
+		s.mu.Unlock()
+		s.set("first", true)
+		time.Sleep(20 * time.Millisecond)
+		k.check(t, "right after the first change", "first")
+		const series = 100
+		want := []string{"first"}
+		for i := range series {
+			name := fmt.Sprint(i)
+			s.set(name, true)
+			want = append(want, name)
+			time.Sleep(15 * time.Millisecond)
+		}
+		time.Sleep(pace)
+		k.check(t, "after the series", want...)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if most := int(series*15*time.Millisecond/pace) + 3; s.calls > most {
+			t.Errorf("%d calls for %d changes, want %d at most", s.calls, series, most)
+		}
+	})
+}
