Let no late copy pass for another answer, nor a comment for life

On the product's own interface a late second copy of a reply on a kept connection was handed to the next caller (shown by a test that fails on the state before); on the platform's an answer without an id on a kept connection was. Comment lines of a stream counted as signs of life. Change: plain calls and prompts use a connection each; an answer on a kept connection must name its request; events of comments alone are passed on and reset nothing.

--- a/backends/dialer.go
+++ b/backends/dialer.go
@@ -12,20 +12,22 @@
 
 // Dialer implements catkinspindle.Dialer over HTTP.
 type Dialer struct {
-	wire *wire.Client
+	// calls carries plain calls and streams, whose answers do not name their request,
+	// control what may be asked again.
+	calls, control *wire.Client
 }
 
 // New returns a dialer whose clients connect within dialTimeout.
 func New(dialTimeout time.Duration) *Dialer {
-	return &Dialer{wire: wire.New(dialTimeout)}
+	return &Dialer{calls: wire.New(dialTimeout, wire.WithoutReuse()), control: wire.New(dialTimeout)}
 }
 
 // Engine implements catkinspindle.Dialer.
 func (d *Dialer) Engine(vm catkinspindle.VM) catkinspindle.Engine {
-	return engines.New(vm.Address, d.wire)
+	return engines.New(vm.Address, d.calls, d.control)
 }
 
 // Plain implements catkinspindle.Dialer.
 func (d *Dialer) Plain(vm catkinspindle.VM) catkinspindle.PlainService {
-	return plainservices.New(vm.Address, d.wire)
+	return plainservices.New(vm.Address, d.calls)
 }
--- /dev/null
+++ b/backends/dialer_test.go
@@ -0,0 +1,108 @@
+package backends_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/backends"
+)
+
+// serveLateCopies answers each request with its number. On a connection that it has
+// answered before, it first sends the answer before once more.
+func serveLateCopies(t *testing.T, answer func(n int) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	t.Cleanup(func() {
+		if err := l.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	group.Go(func() error {
+		for n := 1; ; {
+			conn, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			last := ""
+			for r := bufio.NewReader(conn); ; n++ {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					break
+				}
+				body := answer(n)
+				next := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				if _, err := io.WriteString(conn, last+next); err != nil {
+					break
+				}
+				last = next
+			}
+			if err := conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+				return err
+			}
+		}
+	})
+	return l.Addr().String()
+}
+
+// A late second copy of an answer to one call never passes for the next call's.
+func TestLateSecondReplyIsNobodyElses(t *testing.T) {
+	address := serveLateCopies(t, func(n int) string { return fmt.Sprint(n) })
+	service := backends.New(time.Second).Plain(catkinspindle.VM{Address: address})
+	var got []string
+	for range 3 {
+		reply, err := service.Call(context.Background(), catkinspindle.PlainCall{Service: "s", Method: "buy", Deadline: time.Now().Add(10 * time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, string(reply.Body))
+	}
+	if diff := cmp.Diff([]string{"1", "2", "3"}, got); diff != "" {
+		t.Errorf("replies (-want +got):\n%s", diff)
+	}
+}
+
+// The same for streams of tokens.
+func TestLateSecondStreamIsNobodyElses(t *testing.T) {
+	address := serveLateCopies(t, func(n int) string { return fmt.Sprintf("{\"offset\":%d,\"end\":true}\n", n) })
+	engine := backends.New(time.Second).Engine(catkinspindle.VM{Address: address})
+	var got []int
+	for range 3 {
+		stream, err := engine.Start(context.Background(), catkinspindle.StreamStart{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		chunk, err := stream.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, chunk.Offset)
+		if _, err := stream.Next(); !errors.Is(err, io.EOF) {
+			t.Errorf("end of the stream: %v", err)
+		}
+		stream.Close()
+	}
+	if diff := cmp.Diff([]int{1, 2, 3}, got); diff != "" {
+		t.Errorf("streams (-want +got):\n%s", diff)
+	}
+}
--- a/engines/client.go
+++ b/engines/client.go
@@ -16,13 +16,14 @@
 
 // Client speaks to one engine. It implements catkinspindle.Engine.
 type Client struct {
-	base string
-	wire *wire.Client
+	base             string
+	streams, control *wire.Client
 }
 
-// New returns a client of the engine at address, an IP and port.
-func New(address string, w *wire.Client) *Client {
-	return &Client{base: "http://" + address, wire: w}
+// New returns a client of the engine at address, an IP and port, that sends prompts
+// with streams and everything else with control.
+func New(address string, streams, control *wire.Client) *Client {
+	return &Client{base: "http://" + address, streams: streams, control: control}
 }
 
 // Start implements catkinspindle.Engine.
@@ -37,7 +38,7 @@
 		cancel()
 		return nil, fmt.Errorf("stream %s: %w", s.ID, err)
 	}
-	resp, err := c.wire.Do(req)
+	resp, err := c.streams.Do(req)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -52,13 +53,13 @@
 
 // Cancel implements catkinspindle.Engine.
 func (c *Client) Cancel(ctx context.Context, id catkinspindle.StreamID) error {
-	return c.wire.JSON(ctx, http.MethodDelete, c.base+"/streams/"+id.String(), nil, nil)
+	return c.control.JSON(ctx, http.MethodDelete, c.base+"/streams/"+id.String(), nil, nil)
 }
 
 // Status implements catkinspindle.Engine.
 func (c *Client) Status(ctx context.Context) (catkinspindle.EngineStatus, error) {
 	var st catkinspindle.EngineStatus
-	err := c.wire.JSON(ctx, http.MethodGet, c.base+"/status", nil, &st)
+	err := c.control.JSON(ctx, http.MethodGet, c.base+"/status", nil, &st)
 	return st, err
 }
 
@@ -68,7 +69,7 @@
 	if err != nil {
 		return fmt.Errorf("order: %w", err)
 	}
-	return c.wire.JSON(ctx, http.MethodPost, c.base+"/orders", bytes.NewReader(body), nil)
+	return c.control.JSON(ctx, http.MethodPost, c.base+"/orders", bytes.NewReader(body), nil)
 }
 
 // answer is a stream of chunks, one JSON value a line.
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -25,6 +25,9 @@
 	// ID is the event's id; it is empty when the event has none.
 	ID    string
 	Bytes []byte
+	// Empty events consist of comments alone: they keep a connection open and say
+	// nothing of the answer.
+	Empty bool
 }
 
 // Number returns the id as a number.
@@ -38,14 +41,19 @@
 // Next returns the next event. It returns io.EOF when the stream has ended
 // between two events and io.ErrUnexpectedEOF when it broke off in one.
 func (r *Reader) Next() (Event, error) {
-	var e Event
+	e := Event{Empty: true}
+	begins := true
 	for {
 		line, err := r.lines.ReadSlice('\n')
 		e.Bytes = append(e.Bytes, line...)
 		if len(e.Bytes) > maxEvent {
 			return Event{}, fmt.Errorf("event %d is over %d bytes", r.events, maxEvent)
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
+		if begins && len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':' {
+			e.Empty = false
+		}
+		begins = !errors.Is(err, bufio.ErrBufferFull)
+		if !begins {
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(e.Bytes) > 0 {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -808,10 +808,16 @@
 				t.Fatal(err)
 			}
 		}
+		var reborn []catkinspindle.Fellow
 		for i := range 4 {
-			n := &node{self: fellow(i, 2), view: view.New(nil)}
+			f := fellow(i, 2)
+			f.Rank = fellow(i, 1).Rank // They stay the hubs.
+			reborn = append(reborn, f)
+		}
+		for i := range 4 {
+			n := &node{self: reborn[i], view: view.New(nil)}
 			n.Fleet = fleet.New(n.self, port{net, n.self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler))
-			n.Learn([]catkinspindle.Fellow{fellow(0, 2), fellow(1, 2), fellow(2, 2), fellow(3, 2)})
+			n.Learn(reborn)
 			n.view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r", Born: 5}, "q": {ID: "q", Born: 1}}, 7, time.Time{})
 			nodes[i] = n
 		}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -92,12 +92,16 @@
 			}
 			return false, nil
 		}
-		stall.reset()
-		if e.First == 0 {
+		if !event.Empty {
+			stall.reset()
+		}
+		if e.First == 0 && !event.Empty {
 			e.First = time.Since(began)
+			if x.first == 0 {
+				x.first = time.Since(x.arrived)
+			}
 		}
 		if !x.started {
-			x.first = time.Since(x.arrived)
 			x.head(answer)
 			x.w.WriteHeader(answer.Status)
 		}
@@ -115,6 +119,9 @@
 		if event.ID != "" {
 			x.last = event.ID
 		}
+		if event.Empty {
+			continue
+		}
 		now := time.Now()
 		if !x.eventAt.IsZero() {
 			x.pause = max(x.pause, now.Sub(x.eventAt))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,6 +41,8 @@
 	body   string
 	// broken breaks the body off after its last byte; silent leaves it open.
 	broken, silent bool
+	// drip is sent over and over after the body, until the attempt is given up.
+	drip string
 	// rest comes after a silence of so long.
 	rest    string
 	silence time.Duration
@@ -134,6 +136,9 @@
 	if s.silent {
 		end = waiting{ctx, w.gone}
 	}
+	if s.drip != "" {
+		end = dripping{ctx, s.drip}
+	}
 	if s.rest != "" {
 		end = io.MultiReader(sleeping{ctx, s.silence}, strings.NewReader(s.rest))
 	}
@@ -151,6 +156,21 @@
 
 func (f failing) Read([]byte) (int, error) { return 0, f.err }
 
+// dripping sends a text every 300 ms until the attempt is given up.
+type dripping struct {
+	ctx  context.Context
+	text string
+}
+
+func (d dripping) Read(b []byte) (int, error) {
+	select {
+	case <-time.After(300 * time.Millisecond):
+		return copy(b, d.text), nil
+	case <-d.ctx.Done():
+		return 0, d.ctx.Err()
+	}
+}
+
 // sleeping is an empty part of a body that takes its time and fails when the
 // attempt is given up meanwhile.
 type sleeping struct {
@@ -359,6 +379,38 @@
 	}
 }
 
+// Comments and parts of an event are no signs of life: a stream that brings nothing
+// else goes on at another replica. One that brings whole events is left alone, however
+// slowly they come within the limit.
+func TestDrippingStream(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	tests := map[string]struct {
+		step     step
+		attempts int
+	}{
+		"comments":          {step{status: 200, body: first, drip: ": ping\n\n"}, 2},
+		"bytes of an event": {step{status: 200, body: first + "id: 2\ndata: ", drip: "x"}, 2},
+		"slow but sound":    {step{status: 200, body: first, rest: second, silence: 1100 * time.Millisecond}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{steps: []step{tt.step, {status: 200, body: second}}}
+			_, server := serve(t, w, 9, true)
+			_, body, err := ask(t, server, "/quick/", "k", "")
+			server.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.attempts, len(w.attempts)); diff != "" {
+				t.Errorf("attempts (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(first+second, strings.ReplaceAll(body, ": ping\n\n", "")); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A request has its final answer when its route's time is over, or the caller's
 // own when that is shorter, whatever the replica does.
 func TestRouteTimeout(t *testing.T) {
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -110,6 +110,10 @@
 		if head.Encoded || (head.Status/100 == 2 && !head.Sealed) {
 			return nil, fmt.Errorf("status %d: not an answer of the replica", head.Status)
 		}
+		if head.ID == "" && conn.used && !head.NotRun {
+			// It may be a late second answer to an earlier request.
+			return nil, fmt.Errorf("status %d: answer names no request", head.Status)
+		}
 		b := &body{
 			Reader:   resp.Body,
 			conn:     conn,
--- a/replicas/client_test.go
+++ b/replicas/client_test.go
@@ -189,6 +189,19 @@
 	}
 }
 
+// An answer on a kept connection that names no request may be an earlier one's.
+func TestAnswerWithoutIDOnAKeptConnection(t *testing.T) {
+	const anonymous = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nfirst"
+	s := newScript(t, answer{anonymous, false}, answer{anonymous + good("b", "second"), true})
+	c := newClient()
+	if got, err := send(t, c, s, http.MethodGet, "a"); err != nil || got != "first" {
+		t.Fatalf("on a new connection: body %q, error %v", got, err)
+	}
+	if got, err := send(t, c, s, http.MethodGet, "b"); err == nil {
+		t.Errorf("on a kept one: body %q, want an error", got)
+	}
+}
+
 // A kept connection does not outlive the incarnation that it was made to.
 func TestConnectionsOfOtherIncarnationsAreClosed(t *testing.T) {
 	s := newScript(t, answer{good("a", "1"), false}, answer{good("b", "2"), false})
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -48,6 +48,8 @@
 	replica catkinspindle.Replica
 	until   time.Time
 	once    sync.Once
+	// used is true after the first request.
+	used bool
 }
 
 // Read implements io.Reader under the limit that allow has set.
@@ -123,6 +125,7 @@
 			return nil
 		}
 		if c.replica.Same(r) && time.Now().Before(c.until) && c.clean() {
+			c.used = true
 			return c
 		}
 		c.close()
--- a/wire/client.go
+++ b/wire/client.go
@@ -23,14 +23,26 @@
 // maxReport bounds the body of a refusal in bytes.
 const maxReport = 64 << 10
 
+// Option changes a client.
+type Option func(*http.Transport)
+
+// WithoutReuse gives each request a connection of its own. Where an answer does not
+// name its request, a late second copy of an earlier answer on a kept connection could
+// pass for the next one's.
+func WithoutReuse() Option { return func(t *http.Transport) { t.DisableKeepAlives = true } }
+
 // New returns a client that connects within dialTimeout.
-func New(dialTimeout time.Duration) *Client {
+func New(dialTimeout time.Duration, opts ...Option) *Client {
+	transport := &http.Transport{
+		DialContext:         dialer(dialTimeout),
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	for _, opt := range opts {
+		opt(transport)
+	}
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer(dialTimeout),
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     30 * time.Second,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
