Order hubs by what a restart does not change

Cause: hubs of equal VMs were ordered by the revision of their registration. A coordinator that had no configuration yet placed prompts as if they were plain requests, without readers and estimate. Change: hubs are ordered by strength, place within their data centre and name, so that everybody agrees from an old list at once, and the hubs of equal VMs lie in several data centres. A coordinator that does not know a service says so and the node places alone. Ruled out: silent coordinators (none was suspected before 35.2 s). Tests: TestAllAgreeAfterARestart fails on the order before (six coordinators), TestCoordinatorWithoutConfiguration.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -190,6 +190,11 @@
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	if err := c.peers.Call(ctx, home.PeerAddress, placeKind, j, &p); err != nil {
+		var failure *catkinspindle.Failure
+		if errors.As(err, &failure) && failure.Reason == catkinspindle.ReasonNotReady {
+			// It has just started and will place soon.
+			return c.planner.PlaceAlone(time.Now(), j), true
+		}
 		c.log.Warn("coordinator does not answer; placing alone", events.PeerUnreachable.Attr(), "node", home.Name, "error", err)
 		c.suspect(home)
 		return c.planner.PlaceAlone(time.Now(), j), true
@@ -319,6 +324,9 @@
 	if err := decode(&j); err != nil {
 		return nil, err
 	}
+	if !c.planner.Knows(j.Service) {
+		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNotReady, "service %s is not known yet", j.Service)
+	}
 	return c.planner.Place(time.Now(), j), nil
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -274,3 +274,21 @@
 		}
 	})
 }
+
+// A coordinator that has just started and does not know the service yet places
+// nothing, and is not passed over for it.
+func TestCoordinatorWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := start(t)
+		defer p.stop()
+		p.ledger.SetServices(nil)
+		got := p.node.Place(context.Background(), job())
+		if got.Refused() || got.By != "" || got.First == 0 {
+			t.Errorf("placement %+v, want one of the node's own", got)
+		}
+		if diff := cmp.Diff(0, p.suspected); diff != "" {
+			t.Errorf("times that the coordinator was suspected (-want +got):\n%s", diff)
+		}
+		p.node.End(catkinspindle.Ending{Job: got.Job, Replica: got.Replica})
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,6 +112,8 @@
 	// presumed is until when it counts as alive without a heartbeat.
 	presumed time.Time
 	dead     bool
+	// place is the node's among the VMs of its strength and data centre.
+	place int
 	// blind is true when the hub has lost the store; watchers is how many other nodes
 	// watch it in place of the hubs, as far as the hub knows.
 	blind    bool
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -833,3 +833,55 @@
 		check("q")
 	})
 }
+
+// After a restart of all nodes, which know each other from an old list and register
+// again in any order, all agree on the coordinator after two heartbeats and stay with it.
+func TestAllAgreeAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 24
+		net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
+		var old []catkinspindle.Fellow
+		for i := range count {
+			f := fellow(i, 1)
+			f.DataCentre = fmt.Sprintf("dc%d", i%3)
+			old = append(old, f)
+		}
+		var nodes []*node
+		for i, f := range old {
+			f.Incarnation = 2
+			f.Rank = int64(100 + (7*i)%count)
+			n := &node{self: f, view: view.New(nil)}
+			n.Fleet = fleet.New(f, port{net, f.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler))
+			n.Learn(old)
+			n.LearnOne(f)
+			nodes = append(nodes, n)
+		}
+		for _, n := range nodes {
+			if err := n.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		defer stop(t, nodes)
+		time.Sleep(600 * time.Millisecond)
+		for range 40 {
+			coordinators := map[string]int{}
+			for _, n := range nodes {
+				home, _ := n.Coordinator(catkinspindle.Pool{})
+				coordinators[home.Name]++
+			}
+			if diff := cmp.Diff(map[string]int{"n0": count}, coordinators); diff != "" {
+				t.Fatalf("coordinators and the nodes that ask them (-want +got):\n%s", diff)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		watching := map[string]int{}
+		for _, n := range nodes {
+			if n.watches() {
+				watching[n.self.DataCentre]++
+			}
+		}
+		if diff := cmp.Diff(map[string]int{"dc0": 2, "dc1": 1, "dc2": 1}, watching); diff != "" {
+			t.Errorf("hubs by data centre (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -10,9 +10,32 @@
 	"github.com/catkinspindle/catkinspindle/events"
 )
 
-// order puts the nodes that are to be hubs first.
-func (n *fellow) order(o *fellow) int {
-	return cmp.Or(cmp.Compare(o.Capacity, n.Capacity), cmp.Compare(n.Rank, o.Rank), cmp.Compare(n.Name, o.Name))
+// ranked returns the known nodes in the order in which they become hubs: the strongest
+// VMs first, and of equal ones the first of each data centre, then the second of each,
+// so that the loss of a data centre leaves hubs. The order rests on what does not change
+// when nodes start again: after a restart of all everybody agrees on it at once.
+func (f *Fleet) ranked() []*fellow {
+	list := make([]*fellow, 0, len(f.known))
+	for _, n := range f.known {
+		list = append(list, n)
+	}
+	slices.SortFunc(list, func(a, b *fellow) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(len(a.Name), len(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	type group struct {
+		capacity   float64
+		dataCentre string
+	}
+	members := map[group]int{}
+	for _, n := range list {
+		g := group{n.Capacity, n.DataCentre}
+		n.place = members[g]
+		members[g]++
+	}
+	slices.SortStableFunc(list, func(a, b *fellow) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.place, b.place), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	return list
 }
 
 func (f *Fleet) turn(ctx context.Context) {
@@ -108,31 +131,29 @@
 
 // hasTurn reports whether a step of the ring is this node's.
 func (f *Fleet) hasTurn(step int) bool {
-	place, others := -hubs, -hubs
-	for _, n := range f.known {
+	place, others := 0, -hubs
+	for _, n := range f.ranked() {
 		if n.dead {
 			continue
 		}
-		others++
-		if n.Name != f.self.Name && n.order(f.known[f.self.Name]) < 0 {
-			place++
+		if n.Name == f.self.Name {
+			place = others
 		}
+		others++
 	}
 	groups := max(1, (others+ringNodes-1)/ringNodes)
 	return max(0, place)/ringNodes == step%groups
 }
 
-// hubs returns the hubs in their order: the strongest VMs, of equal ones those
-// registered longest ago, without those that do not answer.
+// hubs returns the hubs in their order, without those that do not answer.
 func (f *Fleet) hubs(now time.Time) []*fellow {
-	var list []*fellow
-	for _, n := range f.known {
-		if n.Rank > 0 && now.After(n.shunned) && !n.Leaving {
+	list := make([]*fellow, 0, hubs)
+	for _, n := range f.ranked() {
+		if n.Rank > 0 && now.After(n.shunned) && !n.Leaving && len(list) < hubs {
 			list = append(list, n)
 		}
 	}
-	slices.SortFunc(list, (*fellow).order)
-	return list[:min(hubs, len(list))]
+	return list
 }
 
 // judge chooses the coordinator and, on a hub, who is alive. It returns the
--- a/objects.go
+++ b/objects.go
@@ -51,8 +51,8 @@
 	// CallersAddress is what address answers name.
 	CallersAddress string `json:"callers-address" cbor:"4,keyasint"`
 	DataCentre     string `json:"data-centre" cbor:"5,keyasint"`
-	// Rank is the store's revision at registration; the lowest live rank
-	// coordinates. Zero means that the node is not registered.
+	// Rank is the store's revision at registration. Zero means that the node is not
+	// registered.
 	Rank    int64 `json:"-" cbor:"6,keyasint"`
 	Leaving bool  `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
 	// Capacity compares VMs: shares of a core.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -140,6 +140,14 @@
 	slices.SortFunc(p.order, func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// Knows reports whether p knows a service and a replica of it, as it must to place.
+func (p *Planner) Knows(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.services[service]
+	return ok && p.sizes[service] > 0
+}
+
 // Place implements catkinspindle.Placer.
 func (p *Planner) Place(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
 	p.mu.Lock()
