--- /dev/null
+++ b/regression/report.go
@@ -0,0 +1,223 @@
+// Package regression compares what the bench's journal says of a few plays with the
+// worth of earlier ones that the repository keeps.
+package regression
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+)
+
+// Tolerance is how far the mean worth of a site may lie below the kept one: plays with
+// processor time differ by so much.
+const Tolerance = 0.03
+
+const (
+	verbScore = "score"
+	freshDays = "fresh-"
+)
+
+// Report is what a number of plays have shown.
+type Report struct {
+	kept map[string]map[string]float64
+	rows []row
+	// problems are why the run counts as failed.
+	problems []string
+}
+
+// row is a played day.
+type row struct {
+	site, day, verb string
+	worth           float64
+	rules           map[string]int
+	passed          bool
+}
+
+// entry is the part of a journal entry that counts here.
+type entry struct {
+	Verb  string   `json:"cmd"`
+	Args  []string `json:"argv"`
+	OK    bool     `json:"ok"`
+	Error *string  `json:"error"`
+	Days  []struct {
+		Name  string         `json:"name"`
+		Worth float64        `json:"G"`
+		Rules map[string]int `json:"rules"`
+		Gate  bool           `json:"gate"`
+		Fault any            `json:"fault"`
+	} `json:"days"`
+}
+
+// New returns a report against the kept worth, which it reads from lines of site, day
+// and worth that are divided by tabs.
+func New(kept io.Reader) (*Report, error) {
+	r := &Report{kept: map[string]map[string]float64{}}
+	lines := bufio.NewScanner(kept)
+	for n := 1; lines.Scan(); n++ {
+		if lines.Text() == "" {
+			continue
+		}
+		fields := strings.Split(lines.Text(), "\t")
+		if len(fields) != 3 {
+			return nil, fmt.Errorf("line %d: %d fields, want site, day and worth", n, len(fields))
+		}
+		worth, err := strconv.ParseFloat(fields[2], 64)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: worth: %w", n, err)
+		}
+		if r.kept[fields[0]] == nil {
+			r.kept[fields[0]] = map[string]float64{}
+		}
+		r.kept[fields[0]][fields[1]] = worth
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("kept worth: %w", err)
+	}
+	return r, nil
+}
+
+var errNoEntry = errors.New("no such entry")
+
+// Add reads the entry with an ID from the journal in dir.
+func (r *Report) Add(dir, id string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*-"+id+".json"))
+	if err != nil || len(files) != 1 {
+		return fmt.Errorf("journal entry %q: %w", id, errors.Join(errNoEntry, err))
+	}
+	data, err := os.ReadFile(files[0])
+	if err != nil {
+		return fmt.Errorf("journal entry %q: %w", id, err)
+	}
+	var e entry
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("journal entry %q: %w", id, err)
+	}
+	site := "?"
+	if len(e.Args) > 0 {
+		site = strings.TrimSuffix(filepath.Base(e.Args[0]), ".toml")
+	}
+	if !e.OK {
+		r.problem("%s of %s did not finish", e.Verb, site)
+	}
+	for _, d := range e.Days {
+		r.rows = append(r.rows, row{site: site, day: d.Name, verb: e.Verb, worth: d.Worth, rules: d.Rules, passed: d.Gate && d.Fault == nil})
+		if len(d.Rules) > 0 {
+			r.problem("%s, %s: rules broken: %s", site, d.Name, broken(d.Rules))
+		} else if !d.Gate || d.Fault != nil {
+			r.problem("%s, %s: gate failed", site, d.Name)
+		}
+	}
+	return nil
+}
+
+func (r *Report) problem(format string, args ...any) {
+	r.problems = append(r.problems, fmt.Sprintf(format, args...))
+}
+
+func broken(rules map[string]int) string {
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(rules)) {
+		list = append(list, fmt.Sprintf("%s %d", name, rules[name]))
+	}
+	return strings.Join(list, ", ")
+}
+
+// Problems returns why the plays count as failed: rules broken, gates failed, and sites
+// whose mean worth over the standard days lies below the kept one.
+func (r *Report) Problems() []string {
+	problems := slices.Clone(r.problems)
+	for _, site := range r.sites() {
+		now, before, days := r.means(site)
+		if days > 0 && now < before-Tolerance {
+			problems = append(problems, fmt.Sprintf("%s: mean worth of %d days %.3f, kept %.3f", site, days, now, before))
+		}
+	}
+	return problems
+}
+
+func (r *Report) sites() []string {
+	names := map[string]bool{}
+	for _, row := range r.rows {
+		names[row.site] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// means returns the mean worth of the days of a site that are scored and kept.
+func (r *Report) means(site string) (now, before float64, days int) {
+	for _, row := range r.rows {
+		kept, ok := r.kept[site][row.day]
+		if row.site != site || row.verb != verbScore || !ok {
+			continue
+		}
+		now, before, days = now+row.worth, before+kept, days+1
+	}
+	if days > 0 {
+		now, before = now/float64(days), before/float64(days)
+	}
+	return now, before, days
+}
+
+// Print writes a line for each day and the mean of each site.
+func (r *Report) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(t, "site\tday\tworth\tkept\trules broken"); err != nil {
+		return err
+	}
+	for _, row := range r.rows {
+		kept := "-"
+		if v, ok := r.kept[row.site][row.day]; ok && row.verb == verbScore {
+			kept = fmt.Sprintf("%.3f", v)
+		}
+		rules := broken(row.rules)
+		if rules == "" && !row.passed {
+			rules = "gate failed"
+		}
+		if _, err := fmt.Fprintf(t, "%s\t%s\t%.3f\t%s\t%s\n", row.site, row.day, row.worth, kept, rules); err != nil {
+			return err
+		}
+	}
+	for _, site := range r.sites() {
+		if now, before, days := r.means(site); days > 0 {
+			if _, err := fmt.Fprintf(t, "%s\tmean of %d\t%.3f\t%.3f\t\n", site, days, now, before); err != nil {
+				return err
+			}
+		}
+	}
+	return t.Flush()
+}
+
+// Keep writes what New reads, with the scored standard days of this report in place of
+// the earlier ones.
+func (r *Report) Keep(w io.Writer) error {
+	next := map[string]map[string]float64{}
+	for site, days := range r.kept {
+		next[site] = maps.Clone(days)
+	}
+	for _, row := range r.rows {
+		if row.verb != verbScore || strings.HasPrefix(row.day, freshDays) {
+			continue
+		}
+		if next[row.site] == nil {
+			next[row.site] = map[string]float64{}
+		}
+		next[row.site][row.day] = row.worth
+	}
+	for _, site := range slices.Sorted(maps.Keys(next)) {
+		for _, day := range slices.Sorted(maps.Keys(next[site])) {
+			if _, err := fmt.Fprintf(w, "%s\t%s\t%.3f\n", site, day, next[site][day]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
