Name nodes of all data centres in address answers

Cause: an answer names 64 nodes at most, the first by name: at 295 VMs all callers came to one data centre and a part of the next, so that whatever befell its links befell all callers. Change: as many of each data centre.

--- a/addresses/answerer.go
+++ b/addresses/answerer.go
@@ -30,13 +30,7 @@
 
 // Addresses serves the addresses.
 func (a *Answerer) Addresses(w http.ResponseWriter, _ *http.Request) {
-	nodes := a.live()
-	list := make([]string, 0, min(maxAddresses, len(nodes)))
-	for _, n := range nodes {
-		if n.CallersAddress != "" && len(list) < maxAddresses {
-			list = append(list, n.CallersAddress)
-		}
-	}
+	list := spread(a.live())
 	if len(list) == 0 {
 		http.Error(w, "no node takes callers", http.StatusServiceUnavailable)
 		return
@@ -50,6 +44,35 @@
 	_, _ = w.Write(body) // A caller that has gone asks again.
 }
 
+// spread returns the addresses of up to maxAddresses nodes, as many of each data centre
+// as there are, so that what befalls one of them befalls few callers.
+func spread(nodes []catkinspindle.Fellow) []string {
+	var order []string
+	groups := map[string][]string{}
+	for _, n := range nodes {
+		if n.CallersAddress == "" {
+			continue
+		}
+		if _, ok := groups[n.DataCentre]; !ok {
+			order = append(order, n.DataCentre)
+		}
+		groups[n.DataCentre] = append(groups[n.DataCentre], n.CallersAddress)
+	}
+	list := make([]string, 0, min(maxAddresses, len(nodes)))
+	for i := 0; ; i++ {
+		added := false
+		for _, name := range order {
+			if i < len(groups[name]) && len(list) < maxAddresses {
+				list = append(list, groups[name][i])
+				added = true
+			}
+		}
+		if !added {
+			return list
+		}
+	}
+}
+
 // Ready serves the readiness check.
 func (a *Answerer) Ready(w http.ResponseWriter, _ *http.Request) {
 	if !a.ready() {
--- a/addresses/answerer_test.go
+++ b/addresses/answerer_test.go
@@ -59,3 +59,25 @@
 		}
 	}
 }
+
+// Of many nodes as many of each data centre are named, whatever their names.
+func TestAddressesOfAllDataCentres(t *testing.T) {
+	var nodes []catkinspindle.Fellow
+	for _, dc := range []string{"a", "b", "c", "d", "e"} {
+		for i := range 59 {
+			nodes = append(nodes, catkinspindle.Fellow{Name: fmt.Sprintf("%s-%d", dc, i), CallersAddress: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc})
+		}
+	}
+	named := map[string]int{}
+	a := addresses.New(func() []catkinspindle.Fellow { return nodes }, func() bool { return true }, time.Second,
+		func(list []string, _ time.Duration) ([]byte, error) {
+			for _, address := range list {
+				named[address[:1]]++
+			}
+			return nil, nil
+		})
+	a.Addresses(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	if diff := cmp.Diff(map[string]int{"a": 13, "b": 13, "c": 13, "d": 13, "e": 12}, named); diff != "" {
+		t.Errorf("addresses by data centre (-want +got):\n%s", diff)
+	}
+}
