Split an attempt into its steps, structure lines of libraries

An attempt had grown to 80 lines; each way that it can end has a function now. What libraries write with the standard logger (QUIC's buffer warning) comes out as a line of the log, event 1007, with a test.

--- a/events/event.go
+++ b/events/event.go
@@ -25,6 +25,7 @@
 	ReplicaFailed     Event = 4005
 	RequestEnded      Event = 5003
 	LinesDropped      Event = 1006
+	LibraryMessage    Event = 1007
 	PeerMalformed     Event = 3001
 	PeerUnreachable   Event = 3002
 	EngineUnreachable Event = 4001
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -142,14 +142,12 @@
 // attempt sends the request to the placed replica. done is true when the
 // caller has its answer; otherwise a nil failure asks for another attempt.
 func (x *exchange) attempt(ctx context.Context, p catkinspindle.Placement) (done bool, f *catkinspindle.Failure) {
-	g := x.gateway
 	began := time.Now()
-	e := catkinspindle.Ending{Job: p.Job, Replica: p.Replica}
+	e := catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp}
 	x.replica = p.Replica
-	e.Outcome = catkinspindle.OutcomeGivenUp
 	defer func() {
 		e.Total = time.Since(began)
-		g.placer.End(e)
+		x.gateway.placer.End(e)
 	}()
 	if _, ok := x.usable(p.Replica); !ok {
 		// The coordinator knows a replica that this node has not heard of, or does not
@@ -158,31 +156,37 @@
 	}
 	helpers, release, err := x.reserve(ctx, p)
 	if err != nil {
-		e.Outcome = catkinspindle.OutcomeRefused
-		culprit := p.Replica
-		var failure *reservations.Failure
-		if errors.As(err, &failure) {
-			culprit = failure.Replica
-			e.Culprit = culprit
-		}
-		x.logAttempt(p, "memory not reserved", err)
-		return false, x.next(ctx, &e, culprit)
+		return false, x.notReserved(ctx, p, &e, err)
 	}
 	defer release()
 	// The replica may have begun to leave, or refused another request, meanwhile.
-	replica, ok := x.usable(p.Replica)
-	enters, probe := false, false
-	if ok {
-		enters, probe = g.cooldown.Enter(time.Now(), replica)
-	}
-	if !enters {
+	replica, probe, ok := x.enter(p.Replica)
+	if !ok {
 		return false, x.pass(e)
 	}
 	e.Outcome = catkinspindle.OutcomeFailed
 	sent, avoid := x.sent+1, append(slices.Clone(x.avoid), p.Replica)
 	attemptCtx, stall := newStall(ctx, x.stallLimit(p), func() bool { return x.secure(ctx, sent, avoid) }, x.stay)
 	defer stall.stop()
-	answer, err := g.sender.Send(attemptCtx, x.envelope, catkinspindle.Attempt{
+	answer, err := x.send(attemptCtx, p, replica, helpers, probe, &e)
+	if err != nil {
+		return false, x.unanswered(ctx, p, &e, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	x.sent++
+	if answer.NotRun {
+		return false, x.turnedAway(ctx, p, answer, &e)
+	}
+	x.verdict = catkinspindle.Ran
+	if answer.Status/100 == 2 && x.route.Streaming {
+		return x.stream(ctx, p, answer, stall, &e, began)
+	}
+	return x.plain(ctx, p, answer, &e, began)
+}
+
+// send sends the request and heeds what the answer says of the replica.
+func (x *exchange) send(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, helpers []catkinspindle.Helper, probe bool, e *catkinspindle.Ending) (*catkinspindle.Answer, error) {
+	answer, err := x.gateway.sender.Send(ctx, x.envelope, catkinspindle.Attempt{
 		Replica:    replica,
 		Workspace:  x.workspace,
 		Left:       time.Until(x.deadline),
@@ -192,39 +196,49 @@
 		Helpers:    helpers,
 	}, x.route.Repeat == catkinspindle.RepeatNever)
 	if err == nil {
-		x.heed(replica, answer, &e)
+		x.heed(replica, answer, e)
 	}
 	if probe {
-		g.cooldown.End(replica)
+		x.gateway.cooldown.End(replica)
 	}
-	if err != nil {
-		failure := catkinspindle.AsFailure(err)
-		if failure.Verdict == catkinspindle.NotRun {
-			e.Outcome = catkinspindle.OutcomeUnreachable
-			return false, x.next(ctx, &e, p.Replica)
-		}
-		x.sent++
-		x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
-		x.logAttempt(p, "broken", err)
-		return false, x.retry(ctx, &e, p.Replica)
+	return answer, err
+}
+
+// notReserved goes on after memory that the request needs could not be set aside.
+func (x *exchange) notReserved(ctx context.Context, p catkinspindle.Placement, e *catkinspindle.Ending, err error) *catkinspindle.Failure {
+	e.Outcome = catkinspindle.OutcomeRefused
+	culprit := p.Replica
+	var failure *reservations.Failure
+	if errors.As(err, &failure) {
+		culprit = failure.Replica
+		e.Culprit = culprit
 	}
-	defer func() { _ = answer.Body.Close() }()
-	x.sent++
-	if answer.NotRun {
-		e.Outcome = catkinspindle.OutcomeRefused
-		e.Culprit = x.culprit(answer.Culprit)
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, readChunk)) // Only to keep the connection.
-		x.logAttempt(p, "refused, at fault: "+answer.Culprit, nil)
-		if e.Culprit != "" && e.Culprit != p.Replica {
-			x.avoid = append(x.avoid, e.Culprit)
-		}
-		return false, x.retry(ctx, &e, p.Replica)
+	x.logAttempt(p, "memory not reserved", err)
+	return x.next(ctx, e, culprit)
+}
+
+// unanswered goes on after an attempt without an answer.
+func (x *exchange) unanswered(ctx context.Context, p catkinspindle.Placement, e *catkinspindle.Ending, err error) *catkinspindle.Failure {
+	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
+		e.Outcome = catkinspindle.OutcomeUnreachable
+		return x.next(ctx, e, p.Replica)
 	}
-	x.verdict = catkinspindle.Ran
-	if answer.Status/100 == 2 && x.route.Streaming {
-		return x.stream(ctx, p, answer, stall, &e, began)
+	x.sent++
+	x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
+	x.logAttempt(p, "broken", err)
+	return x.retry(ctx, e, p.Replica)
+}
+
+// turnedAway goes on after a refusal of the replica.
+func (x *exchange) turnedAway(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, e *catkinspindle.Ending) *catkinspindle.Failure {
+	e.Outcome = catkinspindle.OutcomeRefused
+	e.Culprit = x.culprit(answer.Culprit)
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, readChunk)) // Only to keep the connection.
+	x.logAttempt(p, "refused, at fault: "+answer.Culprit, nil)
+	if e.Culprit != "" && e.Culprit != p.Replica {
+		x.avoid = append(x.avoid, e.Culprit)
 	}
-	return x.plain(ctx, p, answer, &e, began)
+	return x.retry(ctx, e, p.Replica)
 }
 
 // next moves on to another replica after one that got nothing.
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -55,6 +55,16 @@
 	return r, ok && r.Service == x.service && !r.Leaving
 }
 
+// enter is usable right before a request is sent. probe is true when the replica's time
+// without requests has just ended and this request is the first one.
+func (x *exchange) enter(id string) (replica catkinspindle.Replica, probe, ok bool) {
+	replica, ok = x.usable(id)
+	if ok {
+		ok, probe = x.gateway.cooldown.Enter(time.Now(), replica)
+	}
+	return replica, probe, ok
+}
+
 // pass gives a placement back that this node cannot use, and asks for the next one.
 func (x *exchange) pass(e catkinspindle.Ending) *catkinspindle.Failure {
 	x.avoid = append(x.avoid, e.Replica)
--- a/logbook/writer.go
+++ b/logbook/writer.go
@@ -48,6 +48,10 @@
 	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: spell}))
 }
 
+// Capture makes lines that libraries write with the standard logger lines of l, so that
+// everything that the process writes has one format.
+func Capture(l *slog.Logger) { slog.SetDefault(l.With(events.LibraryMessage.Attr())) }
+
 // spell writes durations as text with their unit.
 func spell(_ []string, a slog.Attr) slog.Attr {
 	if a.Value.Kind() == slog.KindDuration {
--- a/logbook/writer_test.go
+++ b/logbook/writer_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"log"
 	"log/slog"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -79,3 +81,27 @@
 		}
 	})
 }
+
+// What libraries write with the standard logger comes out as a line like all others.
+func TestLinesOfLibraries(t *testing.T) {
+	before := slog.Default()
+	t.Cleanup(func() {
+		log.SetOutput(os.Stderr)
+		slog.SetDefault(before)
+	})
+	var out bytes.Buffer
+	w := logbook.New(&out)
+	if err := w.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	logbook.Capture(w.Logger(slog.LevelInfo))
+	log.Print("failed to increase a buffer")
+	if err := w.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{`{"time":`, `"msg":"failed to increase a buffer"`, `"event":1007`} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("no %s in %q", part, out.String())
+		}
+	}
+}
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -102,6 +102,7 @@
 	}
 	lines := logbook.New(out)
 	log := lines.Logger(slog.LevelInfo)
+	logbook.Capture(log)
 	ctx := context.Background()
 	if err := lines.Start(ctx); err != nil {
 		return err
