--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -269,6 +269,7 @@
 		d := catkinspindle.Departure{ID: got.Replica, Born: 3}
 		p.node.End(catkinspindle.Ending{Job: got.Job, Replica: got.Replica, Departed: &d})
 		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
 		if diff := cmp.Diff([]catkinspindle.Departure{d}, p.departed); diff != "" {
 			t.Errorf("departures at the coordinator (-want +got):\n%s", diff)
 		}
