Take nobody for dead before the first contact, log a restart in few lines

Change: who was never heard is presumed alive for 3 s; five lines and a count for nodes that go at once. Before: TestBusyHubTakesNobodyForDead names all seven; after, none.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,11 @@
 	beatTimeout = 400 * time.Millisecond
 	// silence is the time without a heartbeat after which a node counts as dead.
 	silence = 1100 * time.Millisecond
+	// firstContact is the time in which all nodes have connected to one that has just
+	// started: they pass over it for shun, and a handshake takes milliseconds.
+	firstContact = 3 * time.Second
+	// maxLostLines bounds the lines of the log about nodes that are gone at once.
+	maxLostLines = 5
 	// shun is how long a hub that does not answer is passed over.
 	shun = 2 * time.Second
 	// missedBeats is the number of failed heartbeats after which a hub is
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -885,3 +885,42 @@
 		}
 	})
 }
+
+// A hub that has just started and that the others reach only after a while, because all
+// of them connect to it at once, does not take them for dead.
+func TestBusyHubTakesNobodyForDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 8)
+		defer func() { stop(t, nodes) }()
+		time.Sleep(2 * time.Second)
+		if err := nodes[0].Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		reborn := fellow(0, 2)
+		n := &node{self: reborn, view: view.New(nil)}
+		n.Fleet = fleet.New(reborn, port{net, reborn.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler),
+			fleet.WithDeath(func(f catkinspindle.Fellow) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.dead = append(n.dead, f.Name)
+			}))
+		list := []catkinspindle.Fellow{reborn}
+		for i := 1; i < 8; i++ {
+			list = append(list, fellow(i, 1))
+		}
+		n.Learn(list)
+		nodes[0] = n
+		net.setDown(reborn.PeerAddress, true)
+		if err := n.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		net.setDown(reborn.PeerAddress, false)
+		time.Sleep(500 * time.Millisecond)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if len(n.dead) > 0 {
+			t.Errorf("taken for dead: %v", n.dead)
+		}
+	})
+}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -67,10 +67,7 @@
 	home := f.home.Name
 	message.LiveHash = f.live.hash
 	f.mu.Unlock()
-	for _, n := range lost {
-		f.log.Warn("node is gone", events.FellowLost.Attr(), "node", n.Name, "incarnation", n.Incarnation)
-		f.onDeath(n)
-	}
+	f.drop(lost)
 	f.setWatching(ctx, needed)
 	for _, h := range others {
 		f.group.Go(func() error {
@@ -80,6 +77,20 @@
 	}
 }
 
+// drop tells of nodes that are gone. A restart of all replaces every incarnation at once,
+// which is one line of the log and not hundreds.
+func (f *Fleet) drop(lost []catkinspindle.Fellow) {
+	for i, n := range lost {
+		if i < maxLostLines {
+			f.log.Warn("node is gone", events.FellowLost.Attr(), "node", n.Name, "incarnation", n.Incarnation)
+		}
+		f.onDeath(n)
+	}
+	if more := len(lost) - maxLostLines; more > 0 {
+		f.log.Warn("more nodes are gone", events.FellowLost.Attr(), "count", more)
+	}
+}
+
 func (f *Fleet) setBlindSince(now time.Time, blind bool) {
 	switch {
 	case !blind:
@@ -213,13 +224,18 @@
 }
 
 // presume takes those for alive whom the coordinator so far counted, or all that
-// are registered, until they have had the time to send a heartbeat here.
+// are registered, until they have had the time to send a heartbeat here: longer when
+// they never did, since hundreds connect to a node that has just started.
 func (f *Fleet) presume(now time.Time) {
 	f.hearing = now
 	for _, n := range f.known {
+		limit := silence
+		if n.heard.IsZero() {
+			limit = firstContact
+		}
 		counted := len(f.live.nodes) == 0 || slices.ContainsFunc(f.live.nodes, func(l catkinspindle.Fellow) bool { return l.Name == n.Name })
 		if counted {
-			n.presumed = now.Add(silence)
+			n.presumed = now.Add(limit)
 		}
 	}
 }
