Follow a store that comes back from an older copy

Cause: positions in the store were bare revisions. After a restore they go back and are given out again: lists with lower revisions were refused for good, a watch from a revision that exists again was answered without an error, pages of two eras were joined, a departure or removal acknowledged in the lost seconds was undone, and lost registrations and the secret of the fleet were never written again.

Change: platform.Store reads the era of every answer; Position (era, revision) replaces the revision in watches, lists, heartbeats and packed lists; an answer of an earlier era is an error, a higher one makes each follower list again. Leaving replicas stay leaving, removed ones that are listed again are on probation for four of their heartbeats, or until they write, on nodes whose knowledge is up to date. Hubs tell a node that the store does not list it; the node registers again. A node that starts and finds other nodes but no secret waits for it.

Not done: the product's own platform client (platform.Client) has no era.

--- a/departures/log.go
+++ b/departures/log.go
@@ -80,14 +80,15 @@
 }
 
 // Prune drops the departures that a list of replicas makes needless: those of
-// incarnations that the list calls leaving or has replaced by newer ones, and, some
-// time after they were learned, of those that it does not have.
+// incarnations that the list has replaced by newer ones, and, some time after they were
+// learned, of those that it does not have. A list that calls an incarnation leaving is
+// no reason: the next one may be older, after a restore of the store.
 func (l *Log) Prune(now time.Time, listed map[string]catkinspindle.Replica) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entries = slices.DeleteFunc(l.entries, func(e entry) bool {
 		r, ok := listed[e.ID]
-		needless := ok && (r.Born > e.Born || (r.Born == e.Born && r.Leaving))
+		needless := ok && r.Born > e.Born
 		if !ok {
 			needless = now.Sub(e.at) > unlistedRetention
 		}
--- a/events/event.go
+++ b/events/event.go
@@ -18,6 +18,7 @@
 	ConfigUnreadable  Event = 2004
 	PlatformFailed    Event = 2101
 	PlatformRegained  Event = 2102
+	StoreRestored     Event = 2103
 	NodeReloaded      Event = 1005
 	HubChanged        Event = 3003
 	FellowLost        Event = 3004
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -10,9 +10,9 @@
 )
 
 type beatMessage struct {
-	From             catkinspindle.Fellow `cbor:"1,keyasint"`
-	ConfigVersion    int64                `cbor:"2,keyasint"`
-	ReplicasRevision int64                `cbor:"3,keyasint"`
+	From          catkinspindle.Fellow   `cbor:"1,keyasint"`
+	ConfigVersion int64                  `cbor:"2,keyasint"`
+	ReplicasAt    catkinspindle.Position `cbor:"3,keyasint"`
 	// LiveHash is of the list of live nodes that this node has, and WantsLive true
 	// when the hub is the coordinator: only its list counts.
 	LiveHash  uint64 `cbor:"4,keyasint"`
@@ -40,13 +40,13 @@
 }
 
 type beatAnswer struct {
-	// Changes lead from the revision in the heartbeat to ReplicasRevision. When the
-	// hub does not know them any more the node fetches the whole list.
-	Changes          []view.Change        `cbor:"2,keyasint,omitempty"`
-	ReplicasRevision int64                `cbor:"3,keyasint"`
-	Live             *liveChange          `cbor:"4,keyasint,omitempty"`
-	From             catkinspindle.Fellow `cbor:"5,keyasint"`
-	ConfigVersion    int64                `cbor:"6,keyasint"`
+	// Changes lead from the position in the heartbeat to ReplicasAt. When the hub does
+	// not know them any more the node fetches the whole list.
+	Changes       []view.Change          `cbor:"2,keyasint,omitempty"`
+	ReplicasAt    catkinspindle.Position `cbor:"3,keyasint"`
+	Live          *liveChange            `cbor:"4,keyasint,omitempty"`
+	From          catkinspindle.Fellow   `cbor:"5,keyasint"`
+	ConfigVersion int64                  `cbor:"6,keyasint"`
 	// Known is true when Changes are complete.
 	Known bool `cbor:"9,keyasint,omitempty"`
 	// Blind is true when the hub has lost the store.
@@ -56,6 +56,9 @@
 	DeparturesAt uint64                    `cbor:"10,keyasint,omitempty"`
 	// Watchers is how many nodes have told the hub that they watch in place of the hubs.
 	Watchers int `cbor:"11,keyasint,omitempty"`
+	// Unregistered is true when the store does not list the node that sent the
+	// heartbeat.
+	Unregistered bool `cbor:"12,keyasint,omitempty"`
 }
 
 func (f *Fleet) beat(ctx context.Context, to catkinspindle.Fellow, m beatMessage) {
@@ -100,6 +103,9 @@
 		f.adoptLive(*a.Live)
 	}
 	f.mu.Unlock()
+	if a.Unregistered {
+		f.registrationLost("hub", to.Name)
+	}
 	f.hearDepartures(a.Departures, to.Name)
 	f.catchUp(ctx, to, a)
 	f.tell(ctx, to, a)
@@ -109,9 +115,9 @@
 func (f *Fleet) catchUp(ctx context.Context, hub catkinspindle.Fellow, a beatAnswer) {
 	if a.Known {
 		// What another hub's answer has brought meanwhile is applied again.
-		f.view.ChangeReplicas(a.Changes, a.ReplicasRevision, time.Time{})
+		f.view.ChangeReplicas(a.Changes, a.ReplicasAt, time.Time{})
 	}
-	if a.ReplicasRevision > f.view.State().ReplicasRevision {
+	if a.ReplicasAt.After(f.view.State().ReplicasAt) {
 		f.fetch(ctx, &f.fetchingReplicas, hub, replicasKind, f.adoptReplicas)
 	}
 	if a.ConfigVersion > f.view.State().Version() {
@@ -133,7 +139,7 @@
 	if state.Version() > a.ConfigVersion {
 		n.Routing = f.packed(f.routing())
 	}
-	if state.ReplicasRevision > a.ReplicasRevision && len(state.Replicas) > 0 {
+	if state.ReplicasAt.After(a.ReplicasAt) && len(state.Replicas) > 0 {
 		n.Replicas = f.packed(f.replicas())
 	}
 	if n.Routing == nil && n.Replicas == nil {
@@ -187,7 +193,8 @@
 			known.watched = known.heard
 		}
 	}
-	a := beatAnswer{From: f.self, ReplicasRevision: state.ReplicasRevision, ConfigVersion: state.Version(), Blind: f.watching == nil || f.blind()}
+	a := beatAnswer{From: f.self, ReplicasAt: state.ReplicasAt, ConfigVersion: state.Version(), Blind: f.watching == nil || f.blind()}
+	a.Unregistered = f.lacksRegistration(m.From)
 	for _, n := range f.known {
 		if time.Since(n.watched) < silence {
 			a.Watchers++
@@ -201,9 +208,9 @@
 		seen = 0
 	}
 	a.Departures, a.DeparturesAt = f.view.Departures(seen, false)
-	if state.ReplicasRevision > m.ReplicasRevision {
-		if changes, upTo, ok := f.view.Since(m.ReplicasRevision); ok {
-			a.Changes, a.ReplicasRevision, a.Known = changes, upTo, true
+	if state.ReplicasAt.After(m.ReplicasAt) {
+		if changes, upTo, ok := f.view.Since(m.ReplicasAt); ok {
+			a.Changes, a.ReplicasAt, a.Known = changes, upTo, true
 		}
 	}
 	return a, nil
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,8 @@
 	blind   func() bool
 	// blindSince is since when all hubs have lost the store.
 	blindSince time.Time
+	// sightedSince is since when this node hears of the store, itself or from a hub.
+	sightedSince time.Time
 	// probe reports whether this node reaches the store. probed is the last step of the
 	// ring in which it was asked, plus one; inPlace is true while this node watches in
 	// place of the hubs.
@@ -100,6 +102,12 @@
 	onHubs   func()
 	onDeath  func(catkinspindle.Fellow)
 	watching context.CancelFunc
+	// registered are the incarnations that the store lists, by node; nil until this
+	// node has listed them. onUnregistered is called when this node is not among them,
+	// registeredAgain is when it last was.
+	registered      map[string]int64
+	onUnregistered  func()
+	registeredAgain time.Time
 	// buried are incarnations that newer ones have replaced since the last turn.
 	buried []catkinspindle.Fellow
 }
@@ -129,6 +137,8 @@
 	// incarnation exchanged of the hub, and the hub's to this node.
 	told, seen uint64
 	exchanged  int64
+	// unregistered is since when the store does not list the node.
+	unregistered time.Time
 }
 
 // Option changes a fleet.
@@ -160,6 +170,11 @@
 	return func(l *Fleet) { l.onDeath = f }
 }
 
+// WithUnregistered calls f when the store has lost this node's registration.
+func WithUnregistered(f func()) Option {
+	return func(l *Fleet) { l.onUnregistered = f }
+}
+
 // New returns a fleet that shares v. watch follows the store into v and Learn.
 func New(self catkinspindle.Fellow, peers catkinspindle.Peers, v *view.View, watch func(context.Context), log *slog.Logger, opts ...Option) *Fleet {
 	f := &Fleet{
@@ -174,6 +189,8 @@
 		onHome:  func(catkinspindle.Fellow) {},
 		onHubs:  func() {},
 		onDeath: func(catkinspindle.Fellow) {},
+
+		onUnregistered: func() {},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -216,23 +233,30 @@
 // Learn replaces the registered nodes by what the store says.
 func (f *Fleet) Learn(list []catkinspindle.Fellow) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	registered := map[string]bool{}
+	f.registered = make(map[string]int64, len(list))
 	for _, n := range list {
-		registered[n.Name] = true
+		f.registered[n.Name] = n.Incarnation
 		f.learn(n)
 	}
 	for name, n := range f.known {
-		if !registered[name] && name != f.self.Name && time.Since(n.heard) > silence {
+		if _, ok := f.registered[name]; !ok && name != f.self.Name && time.Since(n.heard) > silence {
 			delete(f.known, name)
 		}
 	}
+	lost := f.lostRegistration()
+	f.mu.Unlock()
+	if lost {
+		f.registrationLost("store", "")
+	}
 }
 
 // LearnOne enters a node that the store reports.
 func (f *Fleet) LearnOne(n catkinspindle.Fellow) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.registered != nil {
+		f.registered[n.Name] = n.Incarnation
+	}
 	f.learn(n)
 }
 
@@ -240,6 +264,7 @@
 func (f *Fleet) Remove(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.registered, name)
 	if name != f.self.Name {
 		delete(f.known, name)
 	}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -59,15 +59,19 @@
 	}
 	sighted = sighted || (isHub && !f.blind())
 	f.setBlindSince(now, !sighted && (heard || isHub))
+	upToDate := f.setSightedSince(now, sighted)
 	f.goRound(ctx, now, isHub)
 	needed := isHub || f.inPlace || (!heard && now.Sub(f.started) > firstAnswer)
-	message := beatMessage{From: f.self, Watches: f.inPlace && f.watching != nil && !f.blind(), ConfigVersion: f.view.State().Version(), ReplicasRevision: f.view.State().ReplicasRevision}
+	message := beatMessage{From: f.self, Watches: f.inPlace && f.watching != nil && !f.blind(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt}
 	lost := append(f.judge(now, ranked, isHub), f.buried...)
 	f.buried = nil
 	home := f.home.Name
 	message.LiveHash = f.live.hash
 	f.mu.Unlock()
 	f.drop(lost)
+	if upToDate {
+		f.view.Release(now)
+	}
 	f.setWatching(ctx, needed)
 	for _, h := range others {
 		f.group.Go(func() error {
@@ -91,6 +95,18 @@
 	}
 }
 
+// setSightedSince notes whether this node hears of the store, and reports whether it has
+// done so for the time in which it has caught up.
+func (f *Fleet) setSightedSince(now time.Time, sighted bool) (upToDate bool) {
+	switch {
+	case !sighted:
+		f.sightedSince = time.Time{}
+	case f.sightedSince.IsZero():
+		f.sightedSince = now
+	}
+	return sighted && now.Sub(f.sightedSince) > silence
+}
+
 func (f *Fleet) setBlindSince(now time.Time, blind bool) {
 	switch {
 	case !blind:
--- /dev/null
+++ b/fleet/restored_test.go
@@ -0,0 +1,156 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/fleet"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+func in(era, revision int64) catkinspindle.Position {
+	return catkinspindle.Position{Era: era, Revision: revision}
+}
+
+func listed(ids ...string) map[string]catkinspindle.Replica {
+	list := map[string]catkinspindle.Replica{}
+	for _, id := range ids {
+		list[id] = catkinspindle.Replica{ID: id, Born: 1}
+	}
+	return list
+}
+
+// The list of a restored store reaches every node, also those with a higher revision of
+// the era before, and one that was cut off meanwhile brings nothing of it back.
+func TestRestoredListReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 8)
+		defer stop(t, nodes)
+		for _, hub := range nodes[:4] {
+			hub.view.SetReplicas(listed("a", "b"), in(1, 900), time.Time{})
+		}
+		time.Sleep(2 * time.Second)
+		net.setDown(nodes[3].self.PeerAddress, true)
+		nodes[3].view.ChangeReplicas([]view.Change{{Replica: listed("late")["late"]}}, in(1, 950), time.Time{})
+		for _, hub := range nodes[:2] {
+			hub.view.SetReplicas(listed("a", "c"), in(2, 7), time.Time{})
+		}
+		time.Sleep(2 * time.Second)
+		net.setDown(nodes[3].self.PeerAddress, false)
+		time.Sleep(4 * time.Second)
+		for _, n := range nodes {
+			s := n.view.State()
+			if diff := cmp.Diff([]string{"a", "c"}, slices.Sorted(maps.Keys(s.Replicas))); diff != "" || s.ReplicasAt != in(2, 7) {
+				t.Errorf("%s has a list at %s (-want +got):\n%s", n.self.Name, s.ReplicasAt, diff)
+			}
+		}
+	})
+}
+
+// Nodes hold back what a restored store lists although a hub has seen its removal.
+func TestRemovalsTravelWithRestoredList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 8)
+		defer stop(t, nodes)
+		for _, hub := range nodes[:4] {
+			hub.view.SetReplicas(listed("a", "b"), in(1, 900), time.Time{})
+		}
+		time.Sleep(2 * time.Second)
+		// The last node does not hear of the removal.
+		net.setDown(nodes[7].self.PeerAddress, true)
+		for _, hub := range nodes[:4] {
+			hub.view.ChangeReplicas([]view.Change{{Replica: listed("b")["b"], Gone: true}}, in(1, 901), time.Time{})
+		}
+		time.Sleep(time.Second)
+		for _, hub := range nodes[:4] {
+			hub.view.SetReplicas(listed("a", "b"), in(2, 7), time.Time{})
+		}
+		net.setDown(nodes[7].self.PeerAddress, false)
+		time.Sleep(2 * time.Second)
+		for _, n := range nodes {
+			if diff := cmp.Diff([]string{"a"}, slices.Sorted(maps.Keys(n.view.State().Replicas))); diff != "" {
+				t.Errorf("%s uses (-want +got):\n%s", n.self.Name, diff)
+			}
+		}
+	})
+}
+
+// Nodes whose registration a restored store has lost register again, once each, and no
+// others do.
+func TestLostRegistrationIsWrittenAgain(t *testing.T) {
+	const count, lost = 12, 5
+	synctest.Test(t, func(t *testing.T) {
+		var (
+			mu    sync.Mutex
+			again = map[string]int{}
+		)
+		net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
+		var all []catkinspindle.Fellow
+		for i := range count {
+			all = append(all, fellow(i, 1))
+		}
+		var nodes []*node
+		store := make([]catkinspindle.Fellow, 0, count)
+		for _, self := range all {
+			n := &node{self: self, view: view.New(nil)}
+			n.Fleet = fleet.New(self, port{net, self.PeerAddress}, n.view, func(ctx context.Context) {
+				mu.Lock()
+				list := slices.Clone(store)
+				mu.Unlock()
+				n.Learn(list)
+				<-ctx.Done()
+			}, slog.New(slog.DiscardHandler), fleet.WithUnregistered(func() {
+				mu.Lock()
+				defer mu.Unlock()
+				again[self.Name]++
+				store = append(store, self)
+				for _, other := range nodes[:4] {
+					time.AfterFunc(500*time.Millisecond, func() { other.LearnOne(self) })
+				}
+			}))
+			n.Learn(all)
+			nodes = append(nodes, n)
+		}
+		store = append(store, all...)
+		for _, n := range nodes {
+			if err := n.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		defer stop(t, nodes)
+		time.Sleep(4 * time.Second)
+		if len(again) > 0 {
+			t.Errorf("registered again although nothing was lost: %v", again)
+		}
+		mu.Lock()
+		store = slices.Clone(all[lost:])
+		list := slices.Clone(store)
+		mu.Unlock()
+		for _, hub := range nodes[:4] {
+			hub.Learn(list)
+		}
+		time.Sleep(6 * time.Second)
+		want := map[string]int{}
+		for i := range lost {
+			want[fmt.Sprintf("n%d", i)] = 1
+		}
+		if diff := cmp.Diff(want, again); diff != "" {
+			t.Errorf("registrations (-want +got):\n%s", diff)
+		}
+		for _, n := range nodes {
+			if diff := cmp.Diff(count, len(n.Live())); diff != "" {
+				t.Errorf("live nodes for %s (-want +got):\n%s", n.self.Name, diff)
+			}
+		}
+	})
+}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -23,7 +23,7 @@
 	attrs := []any{
 		events.RequestEnded.Attr(), "request", x.envelope.ID, "route", x.route.Name, "workspace", x.workspace,
 		"status", x.status, "total", total, "first", x.first, "expected-first", x.expected, "longest-pause", x.pause, "helpers", x.helping, "delay", x.delay, "placing", x.placing, "placed-by", x.placedBy, "waits", x.envelope.Timeout, "spent", x.spent, "attempts", x.sent, "replica", x.replica,
-		"prompt-tokens", x.envelope.PromptTokens, "version", x.version, "replicas-revision", x.gateway.view.State().ReplicasRevision,
+		"prompt-tokens", x.envelope.PromptTokens, "version", x.version, "replicas-position", x.gateway.view.State().ReplicasAt,
 	}
 	if f == nil {
 		g.log.Info("request answered", attrs...)
--- a/gateway_settings.go
+++ b/gateway_settings.go
@@ -21,6 +21,9 @@
 	Retry    RetryAllowance
 	// Grace is the time between the request to stop and a kill.
 	Grace time.Duration
+	// ReplicaHeartbeat is the interval at which replicas renew their entries in the
+	// store; zero when it is not known.
+	ReplicaHeartbeat time.Duration
 	// MaxLifetime bounds how long callers keep an address answer.
 	MaxLifetime time.Duration
 }
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -43,6 +43,10 @@
 
 	keysKind = "catkinspindle-keys"
 	keysName = "fleet"
+	// probationHeartbeats is the probation of a replica that a restored store lists
+	// again, in the replicas' heartbeats: the store removes the entry after three that
+	// are missing.
+	probationHeartbeats = 4
 )
 
 // Node is a running node. It implements catkinspindle.Service.
@@ -67,8 +71,12 @@
 	// storeFails is true after a call on the way into the fleet has failed.
 	storeFails atomic.Bool
 
-	group  *errgroup.Group
-	cancel context.CancelFunc
+	group errgroup.Group
+	// running ends when the node stops.
+	running context.Context
+	cancel  context.CancelFunc
+	// seed is the secret of the fleet. It is set before the node has joined.
+	seed   []byte
 	joined chan struct{}
 }
 
@@ -98,13 +106,13 @@
 		opt(n)
 	}
 	if n.store == nil {
-		n.store = platform.NewStore(s.Store)
+		n.store = platform.NewStore(s.Store, platform.WithRestored(n.storeRestored))
 	}
 	n.planner = placement.New()
 	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics))
 	n.keeper = reservations.New(platform.NewOrders(platform.WithLeaving(n.replicaLeaves)), n.log)
 	n.budget = retries.New(s.Retry, 1)
-	n.view = view.New(n.viewChanged)
+	n.view = view.New(n.viewChanged, view.WithProbation(probationHeartbeats*s.ReplicaHeartbeat))
 	n.gateway = gateway.New(n.view, n, n.replicas, n.keeper, n.budget,
 		gateway.Codec{Key: platform.Key, Timeout: platform.Timeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithAwaited(func() bool { return !n.storeFails.Load() }),
@@ -126,8 +134,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
-	n.group = &errgroup.Group{}
+	n.running, n.cancel = ctx, cancel
 	n.group.Go(func() error {
 		if err := n.firstView(ctx); err != nil && ctx.Err() == nil {
 			n.storeFails.Store(true)
@@ -152,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	n.seed = seed
 	config, err := keys.FleetTLS(seed, peers.Protocol)
 	if err != nil {
 		return err
@@ -162,6 +170,7 @@
 		fleet.WithProbe(n.reaches),
 		fleet.WithCoordinatorChange(n.coordinatorChanged),
 		fleet.WithHubsChange(func() { n.coordinator.AnnounceDivided() }),
+		fleet.WithUnregistered(n.registrationLost),
 		fleet.WithDeath(func(f catkinspindle.Fellow) { n.coordinator.Bury(f) }))
 	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.fleet.Suspect, n.log,
 		coordinator.WithDepartures(func(d catkinspindle.Departure) { n.view.Leave(d, false) }))
@@ -215,7 +224,7 @@
 			known = known || o.Name == n.self.Name
 			others = others || o.Name != n.self.Name
 		}
-		nodesSink{n}.Reset(objects, 0, time.Time{})
+		nodesSink{n}.Reset(objects, catkinspindle.Position{}, time.Time{})
 		return nil
 	})
 	return known, others, err
@@ -227,10 +236,8 @@
 	if err != nil {
 		return nil, err
 	}
-	type secret struct {
-		Seed string `json:"seed"`
-	}
 	var got secret
+	began := time.Now()
 	err = n.persist(ctx, "secret of the fleet", func() error {
 		// The secret never changes, so that an old answer is as good as a new one.
 		there, err := n.store.Peek(ctx, keysKind)
@@ -245,7 +252,11 @@
 				return json.Unmarshal(o.Spec, &got)
 			}
 		}
-		o, err := n.store.Create(ctx, keysKind, keysName, secret{Seed: base64.StdEncoding.EncodeToString(seed)})
+		// Where others are registered a secret exists, and the store has lost it.
+		if time.Since(began) < secretWait && n.others(ctx) {
+			return errSecretAwaited
+		}
+		o, err := n.store.Create(ctx, keysKind, keysName, newSecret(seed))
 		if err != nil {
 			return err
 		}
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -31,7 +31,7 @@
 
 // provisional is the revision of a list of replicas that may be old: every other list
 // replaces it.
-const provisional = 1
+var provisional = catkinspindle.Position{Revision: 1}
 
 // firstView reads what the store says of the configuration and the replicas, so that a
 // node serves before it has found the others. They bring it up to date later.
@@ -105,14 +105,14 @@
 type configSink struct{ n *Node }
 
 // Reset implements watch.Sink.
-func (s configSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ time.Time) {
+func (s configSink) Reset(objects []catkinspindle.StoredObject, _ catkinspindle.Position, _ time.Time) {
 	for _, o := range objects {
 		s.adopt(o)
 	}
 }
 
 // Apply implements watch.Sink.
-func (s configSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ time.Time) {
+func (s configSink) Apply(changes []catkinspindle.ObjectChange, _ catkinspindle.Position, _ time.Time) {
 	for _, c := range changes {
 		if !c.Deleted {
 			s.adopt(c.Object)
@@ -137,20 +137,20 @@
 type replicasSink struct{ n *Node }
 
 // Reset implements watch.Sink.
-func (s replicasSink) Reset(objects []catkinspindle.StoredObject, revision int64, mayReturn time.Time) {
+func (s replicasSink) Reset(objects []catkinspindle.StoredObject, at catkinspindle.Position, mayReturn time.Time) {
 	list := map[string]catkinspindle.Replica{}
 	for _, o := range objects {
 		if r, ok := s.decode(o); ok {
 			list[r.ID] = r
 		}
 	}
-	if s.n.view.SetReplicas(list, revision, mayReturn) {
-		s.n.log.Info("replicas listed", events.ReplicaChanged.Attr(), "count", len(list), "revision", revision, "after-outage", !mayReturn.IsZero())
+	if s.n.view.SetReplicas(list, at, mayReturn) {
+		s.n.log.Info("replicas listed", events.ReplicaChanged.Attr(), "count", len(list), "position", at, "after-outage", !mayReturn.IsZero())
 	}
 }
 
 // Apply implements watch.Sink.
-func (s replicasSink) Apply(changes []catkinspindle.ObjectChange, revision int64, mayReturn time.Time) {
+func (s replicasSink) Apply(changes []catkinspindle.ObjectChange, at catkinspindle.Position, mayReturn time.Time) {
 	list := make([]view.Change, 0, len(changes))
 	for _, c := range changes {
 		change := view.Change{Replica: catkinspindle.Replica{ID: c.Object.Name}, Gone: c.Deleted}
@@ -160,10 +160,10 @@
 			change.Replica.ID = c.Object.Name
 		}
 		s.n.log.Info("replica changed", events.ReplicaChanged.Attr(), "replica", change.Replica.ID, "address", change.Replica.Address,
-			"leaving", change.Replica.Leaving, "gone", change.Gone, "revision", revision, "after-outage", !mayReturn.IsZero())
+			"leaving", change.Replica.Leaving, "gone", change.Gone, "position", at, "after-outage", !mayReturn.IsZero())
 		list = append(list, change)
 	}
-	s.n.view.ChangeReplicas(list, revision, mayReturn)
+	s.n.view.ChangeReplicas(list, at, mayReturn)
 }
 
 func (s replicasSink) decode(o catkinspindle.StoredObject) (catkinspindle.Replica, bool) {
@@ -178,7 +178,7 @@
 type nodesSink struct{ n *Node }
 
 // Reset implements watch.Sink.
-func (s nodesSink) Reset(objects []catkinspindle.StoredObject, _ int64, _ time.Time) {
+func (s nodesSink) Reset(objects []catkinspindle.StoredObject, _ catkinspindle.Position, _ time.Time) {
 	list := make([]catkinspindle.Fellow, 0, len(objects))
 	for _, o := range objects {
 		if f, ok := s.decode(o); ok {
@@ -189,7 +189,7 @@
 }
 
 // Apply implements watch.Sink.
-func (s nodesSink) Apply(changes []catkinspindle.ObjectChange, _ int64, _ time.Time) {
+func (s nodesSink) Apply(changes []catkinspindle.ObjectChange, _ catkinspindle.Position, _ time.Time) {
 	for _, c := range changes {
 		if c.Deleted {
 			s.n.fleet.Remove(c.Object.Name)
--- a/objects.go
+++ b/objects.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// ErrHistoryGone means that a watch cannot go on from its revision.
-var ErrHistoryGone = errors.New("history before the revision is gone")
+// ErrHistoryGone means that a watch cannot go on from its position.
+var ErrHistoryGone = errors.New("history before the position is gone")
 
 // StoredObject is an object of the platform's store.
 type StoredObject struct {
@@ -25,14 +25,15 @@
 
 // ObjectStore is the platform's store of versioned objects.
 type ObjectStore interface {
-	// List returns all objects of a kind and the revision to watch from.
-	List(ctx context.Context, kind string) ([]StoredObject, int64, error)
+	// List returns all objects of a kind and the position to watch from. It returns
+	// ErrHistoryGone when the store was restored while it answered.
+	List(ctx context.Context, kind string) ([]StoredObject, Position, error)
 	// Peek is List for a fraction of the price; what it returns may be some seconds old.
 	Peek(ctx context.Context, kind string) ([]StoredObject, error)
-	// Changes waits for changes after a revision and returns them with the
-	// revision to go on from. It returns ErrHistoryGone when the objects must
+	// Changes waits for changes after a position and returns them with the
+	// position to go on from. It returns ErrHistoryGone when the objects must
 	// be listed again.
-	Changes(ctx context.Context, kind string, after int64, wait time.Duration) ([]ObjectChange, int64, error)
+	Changes(ctx context.Context, kind string, after Position, wait time.Duration) ([]ObjectChange, Position, error)
 	// Create creates an object. When one exists it returns that one.
 	Create(ctx context.Context, kind, name string, spec any) (StoredObject, error)
 	// Write creates or replaces an object and returns its revision. It takes one call
--- /dev/null
+++ b/view/restored_test.go
@@ -0,0 +1,201 @@
+package view_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/view"
+)
+
+const probation = 4 * time.Second
+
+// in returns a position of an era.
+func in(era, revision int64) catkinspindle.Position {
+	return catkinspindle.Position{Era: era, Revision: revision}
+}
+
+func listed(replicas ...catkinspindle.Replica) map[string]catkinspindle.Replica {
+	list := map[string]catkinspindle.Replica{}
+	for _, r := range replicas {
+		list[r.ID] = r
+	}
+	return list
+}
+
+// usable returns the replicas that may get new requests.
+func usable(v *view.View) (ids []string) {
+	for _, id := range known(v) {
+		if !v.State().Replicas[id].Leaving {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// The list of a restored store has lower revisions, and changes of the era before are
+// not applied to it.
+func TestRestoredListIsAdopted(t *testing.T) {
+	v := view.New(nil)
+	v.SetReplicas(listed(replica("a"), replica("b")), in(1, 900), time.Time{})
+	v.SetReplicas(listed(replica("a"), replica("c")), in(2, 7), time.Time{})
+	v.ChangeReplicas([]view.Change{{Replica: replica("late")}}, in(1, 950), time.Time{})
+	v.SetReplicas(listed(replica("late")), in(1, 960), time.Time{})
+	v.ChangeReplicas([]view.Change{{Replica: replica("early")}}, in(3, 1), time.Time{})
+	v.ChangeReplicas([]view.Change{{Replica: replica("d")}}, in(2, 8), time.Time{})
+	if diff := cmp.Diff([]string{"a", "c", "d"}, known(v)); diff != "" {
+		t.Errorf("replicas (-want +got):\n%s", diff)
+	}
+	if _, _, ok := v.Since(in(1, 950)); ok {
+		t.Error("changes lead from a position of the era before to the present list")
+	}
+}
+
+// A replica that registered in the time that the store has lost stays in use until it
+// has had the time to register again.
+func TestRegistrationLostByRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := view.New(nil)
+		v.SetReplicas(listed(replica("a"), replica("new"), replica("dead")), in(1, 900), time.Time{})
+		v.SetReplicas(listed(replica("a")), in(2, 7), time.Now().Add(time.Second))
+		if diff := cmp.Diff([]string{"a", "dead", "new"}, usable(v)); diff != "" {
+			t.Errorf("replicas right after the restore (-want +got):\n%s", diff)
+		}
+		v.ChangeReplicas([]view.Change{{Replica: replica("new")}}, in(2, 8), time.Time{})
+		time.Sleep(time.Second)
+		v.Expire(time.Now())
+		if diff := cmp.Diff([]string{"a", "new"}, usable(v)); diff != "" {
+			t.Errorf("replicas a second later (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// What replicas have said in the time that the store has lost still holds.
+func TestDepartureLostByRestore(t *testing.T) {
+	leaving := replica("leaving")
+	leaving.Leaving = true
+	reborn := replica("leaving")
+	reborn.Born++
+	v := view.New(nil)
+	v.SetReplicas(listed(replica("a"), leaving), in(1, 900), time.Time{})
+	v.SetReplicas(listed(replica("a"), replica("leaving")), in(2, 7), time.Time{})
+	if diff := cmp.Diff([]string{"a"}, usable(v)); diff != "" {
+		t.Errorf("usable after the restore (-want +got):\n%s", diff)
+	}
+	v.ChangeReplicas([]view.Change{{Replica: replica("leaving")}}, in(2, 8), time.Time{})
+	if diff := cmp.Diff([]string{"a"}, usable(v)); diff != "" {
+		t.Errorf("usable after its old entry was written again (-want +got):\n%s", diff)
+	}
+	if told, _ := v.Departures(0, true); len(told) != 1 {
+		t.Errorf("%d departures to tell other nodes, want 1", len(told))
+	}
+	v.ChangeReplicas([]view.Change{{Replica: reborn}}, in(2, 9), time.Time{})
+	if diff := cmp.Diff([]string{"a", "leaving"}, usable(v)); diff != "" {
+		t.Errorf("usable after its start (-want +got):\n%s", diff)
+	}
+}
+
+// A replica whose entry was removed in the time that the store has lost is listed
+// again. It is not used before the store has had the time to remove the entry of a
+// silent replica, unless the replica has written since; a second restore changes
+// nothing.
+func TestRemovalLostByRestore(t *testing.T) {
+	for name, restores := range map[string]int64{"one restore": 1, "two restores": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := view.New(nil, view.WithProbation(probation))
+				all := listed(replica("a"), replica("alive"), replica("gone"), replica("silent"), replica("reborn"))
+				v.SetReplicas(all, in(1, 900), time.Time{})
+				for i, id := range []string{"alive", "gone", "silent", "reborn"} {
+					v.ChangeReplicas([]view.Change{{Replica: replica(id), Gone: true}}, in(1, 901+int64(i)), time.Time{})
+				}
+				reborn := replica("reborn")
+				reborn.Born++
+				all["reborn"] = reborn
+				era := int64(1)
+				for range restores {
+					era++
+					v.SetReplicas(all, in(era, 7), time.Now().Add(time.Second))
+					time.Sleep(500 * time.Millisecond)
+				}
+				if diff := cmp.Diff([]string{"a", "reborn"}, usable(v)); diff != "" {
+					t.Errorf("usable after the restore (-want +got):\n%s", diff)
+				}
+				if list, _, _ := v.Confirmed(); len(list) != len(all) {
+					t.Errorf("other nodes are sent %d replicas of %d", len(list), len(all))
+				}
+				v.ChangeReplicas([]view.Change{{Replica: replica("alive")}}, in(era, 8), time.Time{})
+				time.Sleep(probation / 2)
+				v.ChangeReplicas([]view.Change{{Replica: replica("gone"), Gone: true}}, in(era, 9), time.Time{})
+				v.Release(time.Now())
+				if diff := cmp.Diff([]string{"a", "alive", "reborn"}, usable(v)); diff != "" {
+					t.Errorf("usable after one has written (-want +got):\n%s", diff)
+				}
+				time.Sleep(probation)
+				v.Release(time.Now())
+				if diff := cmp.Diff([]string{"a", "alive", "reborn", "silent"}, usable(v)); diff != "" {
+					t.Errorf("usable after the probation (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// A restored store may list an incarnation that a later start under the same ID has
+// ended. The later one stays in use until it has had the time to register again.
+func TestStartLostByRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reborn := replica("a")
+		reborn.Born++
+		v := view.New(nil)
+		v.SetReplicas(listed(reborn), in(1, 900), time.Time{})
+		v.SetReplicas(listed(replica("a")), in(2, 7), time.Now().Add(time.Second))
+		if diff := cmp.Diff(listed(reborn), v.State().Replicas); diff != "" {
+			t.Errorf("replicas right after the restore (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Second)
+		v.Expire(time.Now())
+		if diff := cmp.Diff(listed(), v.State().Replicas); diff != "" {
+			t.Errorf("replicas a second later (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// What a replica has said of its leaving outlasts a list that says so too: the next
+// list may be older.
+func TestDepartureOutlastsLists(t *testing.T) {
+	leaving := replica("a")
+	leaving.Leaving = true
+	v := view.New(nil)
+	v.SetReplicas(listed(replica("a")), in(1, 5), time.Time{})
+	v.Leave(replica("a").Departure(), true)
+	v.ChangeReplicas([]view.Change{{Replica: replica("b")}}, in(1, 6), time.Time{})
+	v.ChangeReplicas([]view.Change{{Replica: leaving}}, in(1, 7), time.Time{})
+	v.SetReplicas(listed(replica("a"), replica("b")), in(1, 8), time.Time{})
+	if diff := cmp.Diff([]string{"b"}, usable(v)); diff != "" {
+		t.Errorf("usable (-want +got):\n%s", diff)
+	}
+}
+
+// Removals that another node has seen count as well, also of a replica that is in use
+// here because this node has not heard of its removal.
+func TestRemovalsOfOtherNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := view.New(nil, view.WithProbation(probation))
+		v.SetReplicas(listed(replica("a"), replica("b")), in(1, 900), time.Time{})
+		v.NoteRemoved([]catkinspindle.Departure{replica("b").Departure(), replica("c").Departure()})
+		v.SetReplicas(listed(replica("a"), replica("b"), replica("c")), in(2, 7), time.Now().Add(time.Second))
+		if diff := cmp.Diff([]string{"a"}, usable(v)); diff != "" {
+			t.Errorf("usable (-want +got):\n%s", diff)
+		}
+		time.Sleep(probation)
+		v.Expire(time.Now())
+		v.Release(time.Now())
+		if diff := cmp.Diff([]string{"a", "b", "c"}, usable(v)); diff != "" {
+			t.Errorf("usable after the probation (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/view/view.go
+++ b/view/view.go
@@ -19,9 +19,9 @@
 type State struct {
 	// Table is nil until a configuration is known.
 	Table *routes.Table
-	// Replicas are the known replicas by ID, as of ReplicasRevision.
-	Replicas         map[string]catkinspindle.Replica
-	ReplicasRevision int64
+	// Replicas are the known replicas by ID, as of the position ReplicasAt of the store.
+	Replicas   map[string]catkinspindle.Replica
+	ReplicasAt catkinspindle.Position
 }
 
 // Version returns the version of the configuration; zero means none.
@@ -38,29 +38,58 @@
 	state   atomic.Pointer[State]
 	changed func(*State)
 	missing map[string]time.Time
-	// records are the last changes, which lead from the list of revision floor to
-	// the present one.
+	// records are the last changes, which lead from the list at floor to the present
+	// one.
 	records []record
-	floor   int64
+	floor   catkinspindle.Position
 	// known is closed when the first configuration is known.
 	known chan struct{}
 	// departures are the replicas that have said themselves that they leave.
 	departures *departures.Log
+	// removed are the incarnations whose entries were removed lately, by ID.
+	removed map[string]removal
+	// held are replicas that a restored store lists although they had been removed.
+	held      map[string]held
+	probation time.Duration
+}
+
+// Option changes a view.
+type Option func(*View)
+
+// WithProbation sets how long a replica that a restored store lists again must stay on
+// the list before it is used.
+func WithProbation(d time.Duration) Option {
+	return func(v *View) {
+		if d > 0 {
+			v.probation = d
+		}
+	}
 }
 
 // maxRecorded bounds the changes and records that are kept for other nodes. It
 // covers the replacement of a tenth of 1,600 replicas, a record each.
 const maxRecorded = 512
 
-// record is what changed up to a revision.
+// record is what changed up to a position.
 type record struct {
-	revision int64
-	changes  []Change
+	at      catkinspindle.Position
+	changes []Change
 }
 
 // New returns an empty view that calls changed after each change.
-func New(changed func(*State)) *View {
-	v := &View{changed: changed, missing: map[string]time.Time{}, known: make(chan struct{}), departures: departures.New()}
+func New(changed func(*State), opts ...Option) *View {
+	v := &View{
+		changed:    changed,
+		missing:    map[string]time.Time{},
+		known:      make(chan struct{}),
+		departures: departures.New(),
+		removed:    map[string]removal{},
+		held:       map[string]held{},
+		probation:  defaultProbation,
+	}
+	for _, opt := range opts {
+		opt(v)
+	}
 	v.state.Store(&State{Replicas: map[string]catkinspindle.Replica{}})
 	return v
 }
@@ -101,34 +130,37 @@
 	return true
 }
 
-// SetReplicas replaces the replicas as of a revision of the store. Older
-// revisions are ignored. After an outage of the store missing replicas are
-// kept until mayReturn, because their entries may come back; otherwise it is
-// zero.
-func (v *View) SetReplicas(list map[string]catkinspindle.Replica, revision int64, mayReturn time.Time) bool {
+// SetReplicas replaces the replicas as of a position of the store. Older positions are
+// ignored. After an outage or a restore of the store missing replicas are kept until
+// mayReturn, because their entries may come back; otherwise it is zero.
+func (v *View) SetReplicas(list map[string]catkinspindle.Replica, at catkinspindle.Position, mayReturn time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := *v.state.Load()
-	if revision <= s.ReplicasRevision {
+	if !at.After(s.ReplicasAt) {
 		return false
 	}
 	next := maps.Clone(list)
+	now := time.Now()
+	v.hold(now, next, &s, at)
 	maps.DeleteFunc(v.missing, func(id string, _ time.Time) bool {
 		_, back := next[id]
 		return back || mayReturn.IsZero()
 	})
 	if !mayReturn.IsZero() {
 		for id, r := range s.Replicas {
-			if _, ok := next[id]; !ok && !r.Leaving {
+			_, listed := next[id]
+			if _, isHeld := v.held[id]; !listed && !isHeld && !r.Leaving {
 				next[id] = r
 				v.missing[id] = mayReturn
 			}
 		}
 	}
-	v.departures.Prune(time.Now(), next)
+	v.noteMissing(now, s.Replicas, next)
+	v.departures.Prune(now, next)
 	v.markLeaving(next)
-	s.Replicas, s.ReplicasRevision = next, revision
-	v.records, v.floor = nil, revision
+	s.Replicas, s.ReplicasAt = next, at
+	v.records, v.floor = nil, at
 	v.publish(&s)
 	return true
 }
@@ -173,7 +205,7 @@
 }
 
 // record keeps changes for other nodes.
-func (v *View) record(changes []Change, revision int64) {
+func (v *View) record(changes []Change, at catkinspindle.Position) {
 	kept := make([]Change, len(changes))
 	for i, c := range changes {
 		if c.Gone {
@@ -181,45 +213,48 @@
 		}
 		kept[i] = c
 	}
-	v.records = append(v.records, record{revision, kept})
+	v.records = append(v.records, record{at, kept})
 	n := 0
 	for _, r := range v.records {
 		n += len(r.changes) + 1
 	}
 	for n > maxRecorded {
-		v.floor = v.records[0].revision
+		v.floor = v.records[0].at
 		n -= len(v.records[0].changes) + 1
 		v.records = v.records[1:]
 	}
 }
 
-// Since returns the changes after a revision and the revision that they lead to.
+// Since returns the changes after a position and the position that they lead to.
 // ok is false when they are not known any more, or when replicas are waited for:
 // the whole list is needed then.
-func (v *View) Since(revision int64) (changes []Change, upTo int64, ok bool) {
+func (v *View) Since(position catkinspindle.Position) (changes []Change, upTo catkinspindle.Position, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if revision < v.floor || len(v.missing) > 0 {
-		return nil, 0, false
+	if v.floor.After(position) || len(v.missing) > 0 {
+		return nil, upTo, false
 	}
 	for _, r := range v.records {
-		if r.revision > revision {
+		if r.at.After(position) {
 			changes = append(changes, r.changes...)
 		}
 	}
-	return changes, v.state.Load().ReplicasRevision, true
+	return changes, v.state.Load().ReplicasAt, true
 }
 
-// ChangeReplicas applies changes up to a revision.
-func (v *View) ChangeReplicas(changes []Change, revision int64, mayReturn time.Time) {
+// ChangeReplicas applies changes up to a position. Those of another era than that of
+// the list are ignored: the list of that era is needed first.
+func (v *View) ChangeReplicas(changes []Change, at catkinspindle.Position, mayReturn time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := *v.state.Load()
-	if revision <= s.ReplicasRevision {
+	if at.Era != s.ReplicasAt.Era || !at.After(s.ReplicasAt) {
 		return
 	}
+	now := time.Now()
 	next := maps.Clone(s.Replicas)
 	for _, c := range changes {
+		delete(v.held, c.Replica.ID)
 		known, ok := next[c.Replica.ID]
 		switch {
 		case !c.Gone:
@@ -231,36 +266,40 @@
 			delete(next, c.Replica.ID)
 		}
 	}
-	v.departures.Prune(time.Now(), next)
+	v.noteMissing(now, s.Replicas, next)
+	v.departures.Prune(now, next)
 	v.markLeaving(next)
-	s.Replicas, s.ReplicasRevision = next, revision
-	v.record(changes, revision)
+	s.Replicas, s.ReplicasAt = next, at
+	v.record(changes, at)
 	v.publish(&s)
 }
 
-// Confirmed returns the replicas whose entries are there, their revision, and how
+// Confirmed returns the replicas whose entries are there, their position, and how
 // long the missing ones are still waited for: other nodes wait as long.
-func (v *View) Confirmed() (list map[string]catkinspindle.Replica, revision int64, wait time.Duration) {
+func (v *View) Confirmed() (list map[string]catkinspindle.Replica, at catkinspindle.Position, wait time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.state.Load()
-	if len(v.missing) == 0 {
-		return s.Replicas, s.ReplicasRevision, 0
+	if len(v.missing) == 0 && len(v.held) == 0 {
+		return s.Replicas, s.ReplicasAt, 0
 	}
 	list = maps.Clone(s.Replicas)
 	for id, until := range v.missing {
 		delete(list, id)
 		wait = max(wait, time.Until(until))
 	}
-	return list, s.ReplicasRevision, wait
+	for id, h := range v.held {
+		list[id] = h.replica
+	}
+	return list, s.ReplicasAt, wait
 }
 
 // Expire drops the replicas whose entries have not come back.
 func (v *View) Expire(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var next map[string]catkinspindle.Replica
 	s := *v.state.Load()
+	var next map[string]catkinspindle.Replica
 	for id, until := range v.missing {
 		if now.Before(until) {
 			continue
@@ -272,6 +311,7 @@
 		delete(next, id)
 	}
 	if next != nil {
+		v.noteMissing(now, s.Replicas, next)
 		s.Replicas = next
 		v.publish(&s)
 	}
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -45,11 +45,11 @@
 // changes takes few of them. A change after a quiet time is not held up.
 func WithPace(d time.Duration) Option { return func(l *Follower) { l.pace = d } }
 
-// Sink receives what a follower learns. Until mayReturn, entries that are
-// missing may come back, because the store was away; it is zero otherwise.
+// Sink receives what a follower learns. Until mayReturn, entries that are missing may
+// come back, because the store was away or restored from a copy; it is zero otherwise.
 type Sink interface {
-	Reset(objects []catkinspindle.StoredObject, revision int64, mayReturn time.Time)
-	Apply(changes []catkinspindle.ObjectChange, revision int64, mayReturn time.Time)
+	Reset(objects []catkinspindle.StoredObject, at catkinspindle.Position, mayReturn time.Time)
+	Apply(changes []catkinspindle.ObjectChange, at catkinspindle.Position, mayReturn time.Time)
 }
 
 // New returns a follower of kind whose calls wait so long for changes.
@@ -65,7 +65,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	defer f.state(false)
 	var (
-		revision  int64
+		position  catkinspindle.Position
 		listed    bool
 		downSince time.Time
 		mayReturn time.Time
@@ -79,29 +79,34 @@
 		}
 		if !listed {
 			var objects []catkinspindle.StoredObject
-			objects, revision, err = f.store.List(ctx, f.kind)
+			var now catkinspindle.Position
+			objects, now, err = f.store.List(ctx, f.kind)
 			if err == nil {
-				listed = true
-				if !downSince.IsZero() && time.Since(downSince) > outageLength {
+				restored := position.Revision > 0 && now.Era > position.Era
+				if restored {
+					f.log.Warn("store restored from a copy", events.StoreRestored.Attr(), "kind", f.kind, "position", now, "before", position)
+				}
+				if restored || (!downSince.IsZero() && time.Since(downSince) > outageLength) {
 					mayReturn = time.Now().Add(returnTime)
 				}
-				f.sink.Reset(objects, revision, mayReturn)
+				listed, position = true, now
+				f.sink.Reset(objects, position, mayReturn)
 			}
 		} else {
 			var changes []catkinspindle.ObjectChange
-			var next int64
-			changes, next, err = f.store.Changes(ctx, f.kind, revision, f.wait)
+			var next catkinspindle.Position
+			changes, next, err = f.store.Changes(ctx, f.kind, position, f.wait)
 			if err == nil {
-				revision = next
+				position = next
 				if len(changes) > 0 {
-					f.sink.Apply(changes, revision, mayReturn)
+					f.sink.Apply(changes, position, mayReturn)
 				}
 			}
 		}
 		if err == nil {
 			if !downSince.IsZero() {
 				f.state(false)
-				f.log.Info("store regained", events.PlatformRegained.Attr(), "kind", f.kind, "away", time.Since(downSince), "revision", revision)
+				f.log.Info("store regained", events.PlatformRegained.Attr(), "kind", f.kind, "away", time.Since(downSince), "position", position)
 			}
 			downSince, pause = time.Time{}, firstRetry
 			sleep(ctx, time.Until(began.Add(f.pace)))
@@ -117,7 +122,7 @@
 		if downSince.IsZero() {
 			downSince = time.Now()
 			f.state(true)
-			f.log.Warn("store lost", events.PlatformFailed.Attr(), "kind", f.kind, "revision", revision, "error", err)
+			f.log.Warn("store lost", events.PlatformFailed.Attr(), "kind", f.kind, "position", position, "error", err)
 		}
 		// A watch that was cut may have missed nothing, but listing again also
 		// shows entries that went while the store was away.
