Count a watch as up to date once it has listed

It counts once it has listed the nodes. TestRemovalsTravelWithRestoredList lets the other nodes take the restored list first: before, one of them told the cut-off node of the removal.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,8 +90,10 @@
 	blind   func() bool
 	// blindSince is since when all hubs have lost the store.
 	blindSince time.Time
-	// sightedSince is since when this node hears of the store, itself or from a hub.
-	sightedSince time.Time
+	// informedSince is since when this node is told of changes in the store, by its own
+	// watch, which has listed the nodes, or by a hub.
+	informedSince time.Time
+	listed        bool
 	// probe reports whether this node reaches the store. probed is the last step of the
 	// ring in which it was asked, plus one; inPlace is true while this node watches in
 	// place of the hubs.
@@ -234,6 +236,7 @@
 func (f *Fleet) Learn(list []catkinspindle.Fellow) {
 	f.mu.Lock()
 	f.registered = make(map[string]int64, len(list))
+	f.listed = f.watching != nil
 	for _, n := range list {
 		f.registered[n.Name] = n.Incarnation
 		f.learn(n)
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -45,6 +45,7 @@
 	ranked := f.hubs(now)
 	isHub := false
 	heard, sighted := false, false
+	informed := f.watching != nil && f.listed && !f.blind()
 	var others []fellow
 	for _, h := range ranked {
 		if h.Name == f.self.Name {
@@ -55,11 +56,12 @@
 		if now.Sub(h.answered) < silence {
 			heard = true
 			sighted = sighted || !h.blind
+			informed = informed || !h.blind
 		}
 	}
 	sighted = sighted || (isHub && !f.blind())
 	f.setBlindSince(now, !sighted && (heard || isHub))
-	upToDate := f.setSightedSince(now, sighted)
+	upToDate := f.setInformedSince(now, informed)
 	f.goRound(ctx, now, isHub)
 	needed := isHub || f.inPlace || (!heard && now.Sub(f.started) > firstAnswer)
 	message := beatMessage{From: f.self, Watches: f.inPlace && f.watching != nil && !f.blind(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt}
@@ -95,16 +97,16 @@
 	}
 }
 
-// setSightedSince notes whether this node hears of the store, and reports whether it has
-// done so for the time in which it has caught up.
-func (f *Fleet) setSightedSince(now time.Time, sighted bool) (upToDate bool) {
+// setInformedSince notes whether this node is told of changes in the store, and reports
+// whether it has been for long enough to have caught up.
+func (f *Fleet) setInformedSince(now time.Time, informed bool) (upToDate bool) {
 	switch {
-	case !sighted:
-		f.sightedSince = time.Time{}
-	case f.sightedSince.IsZero():
-		f.sightedSince = now
+	case !informed:
+		f.informedSince = time.Time{}
+	case f.informedSince.IsZero():
+		f.informedSince = now
 	}
-	return sighted && now.Sub(f.sightedSince) > silence
+	return informed && now.Sub(f.informedSince) > silence
 }
 
 func (f *Fleet) setBlindSince(now time.Time, blind bool) {
@@ -262,7 +264,7 @@
 	switch {
 	case on && f.watching == nil:
 		watchCtx, cancel := context.WithCancel(ctx)
-		f.watching = cancel
+		f.watching, f.listed = cancel, false
 		f.group.Go(func() error {
 			f.watch(watchCtx)
 			return nil
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -78,6 +78,7 @@
 		for _, hub := range nodes[:4] {
 			hub.view.SetReplicas(listed("a", "b"), in(2, 7), time.Time{})
 		}
+		time.Sleep(time.Second)
 		net.setDown(nodes[7].self.PeerAddress, false)
 		time.Sleep(2 * time.Second)
 		for _, n := range nodes {
