Bound what answers without an end cost

Cause: the body of an answer to an earlier request was drained without a bound, answers that are no streams were gathered up to 16 MB each, one event up to 1 MB, a chunk of an engine and heads of the store's and orders' answers up to 10 MB or without a bound.

Change: each has a bound; a plain answer over 256 kB is passed on as it comes and cut when it breaks off; a connection with such bytes is closed and the next request is served on another one.

--- a/attempt.go
+++ b/attempt.go
@@ -76,6 +76,8 @@
 // Answer is an answer of a replica.
 type Answer struct {
 	AnswerHead
+	// Length is that of the body in bytes; negative when the replica does not say.
+	Length int64
 	// Body ends with io.EOF only when the answer is whole.
 	Body io.ReadCloser
 }
--- a/engines/client.go
+++ b/engines/client.go
@@ -48,7 +48,8 @@
 		defer func() { _ = resp.Body.Close() }()
 		return nil, wire.Refusal(resp)
 	}
-	return &answer{body: resp.Body, decoder: json.NewDecoder(resp.Body), cancel: cancel}, nil
+	limited := &io.LimitedReader{R: resp.Body}
+	return &answer{body: resp.Body, limited: limited, decoder: json.NewDecoder(limited), cancel: cancel}, nil
 }
 
 // Cancel implements catkinspindle.Engine.
@@ -72,9 +73,13 @@
 	return c.control.JSON(ctx, http.MethodPost, c.base+"/orders", bytes.NewReader(body), nil)
 }
 
+// maxChunk bounds what is read for one chunk, in bytes.
+const maxChunk = 1 << 20
+
 // answer is a stream of chunks, one JSON value a line.
 type answer struct {
 	body    io.ReadCloser
+	limited *io.LimitedReader
 	decoder *json.Decoder
 	cancel  context.CancelFunc
 	ended   bool
@@ -86,8 +91,12 @@
 		return catkinspindle.Chunk{}, io.EOF
 	}
 	var c catkinspindle.Chunk
+	a.limited.N = maxChunk
 	if err := a.decoder.Decode(&c); err != nil {
-		if errors.Is(err, io.EOF) {
+		switch {
+		case a.limited.N <= 0:
+			err = fmt.Errorf("chunk is over %d bytes", maxChunk)
+		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
 		}
 		return c, err
--- /dev/null
+++ b/engines/client_test.go
@@ -0,0 +1,64 @@
+package engines_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/engines"
+	"github.com/catkinspindle/catkinspindle/wire"
+)
+
+// Bytes without end in a chunk, between chunks or in an answer that is decoded end the
+// call; whole chunks before them are delivered, however many there are.
+func TestEndlessBytes(t *testing.T) {
+	const chunk = `{"text":"x"}` + "\n"
+	tests := map[string]struct {
+		begin, over string
+		chunks      int
+	}{
+		"value without an end":   {chunk + `{"text":"`, strings.Repeat("x", 4<<10), 1},
+		"white space":            {chunk + chunk, strings.Repeat(" ", 4<<10), 2},
+		"not the protocol":       {"", strings.Repeat("\x00", 4<<10), 0},
+		"many chunks, then none": {strings.Repeat(chunk, 200_000), strings.Repeat("\n", 4<<10), 200_000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, err := io.WriteString(w, tt.begin)
+				for err == nil {
+					_, err = io.WriteString(w, tt.over)
+				}
+			}))
+			defer server.Close()
+			client := wire.New(time.Second, wire.WithoutReuse())
+			c := engines.New(strings.TrimPrefix(server.URL, "http://"), client, client)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			stream, err := c.Start(ctx, catkinspindle.StreamStart{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer stream.Close()
+			got := 0
+			for {
+				if _, err = stream.Next(); err != nil {
+					break
+				}
+				got++
+			}
+			if got != tt.chunks || ctx.Err() != nil {
+				t.Errorf("%d chunks, want %d, then %v", got, tt.chunks, err)
+			}
+			// The first value may do for a status; what matters is that the call ends.
+			if _, err := c.Status(ctx); ctx.Err() != nil {
+				t.Errorf("status: error %v after a minute", err)
+			}
+		})
+	}
+}
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -10,8 +10,9 @@
 	"strconv"
 )
 
-// maxEvent bounds one event in bytes.
-const maxEvent = 1 << 20
+// maxEvent bounds one event in bytes. A hundred of them at once must fit into the memory
+// of a small VM.
+const maxEvent = 128 << 10
 
 // Reader reads whole events.
 type Reader struct {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -14,10 +14,7 @@
 
 // plain forwards an answer that is no stream.
 func (x *exchange) plain(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, e *catkinspindle.Ending, began time.Time) (bool, *catkinspindle.Failure) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlain+1))
-	if err == nil && len(body) > maxPlain {
-		err = errors.New("answer is too large")
-	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxGathered+1))
 	if err != nil {
 		x.logAttempt(p, "broken", err)
 		return false, x.retry(ctx, e, p.Replica)
@@ -31,14 +28,18 @@
 		if x.started {
 			return false, x.fail(catkinspindle.ReasonBackendFailed, "the replica could not go on")
 		}
-	} else {
-		e.Outcome = catkinspindle.OutcomeDone
 	}
 	if x.started {
 		return false, x.fail(catkinspindle.ReasonBackendFailed, "the answer to a resumed stream is no stream")
 	}
 	x.first = time.Since(x.arrived)
 	x.head(answer)
+	if len(body) > maxGathered {
+		return x.passOn(p, answer, body, e)
+	}
+	if answer.Status < http.StatusInternalServerError {
+		e.Outcome = catkinspindle.OutcomeDone
+	}
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(answer.Status)
 	if _, err := x.w.Write(body); err != nil {
@@ -47,6 +48,48 @@
 	return true, nil
 }
 
+// passOn forwards a long answer as it comes. It cannot be repeated; when it breaks off,
+// so does the answer to the caller.
+func (x *exchange) passOn(p catkinspindle.Placement, answer *catkinspindle.Answer, begun []byte, e *catkinspindle.Ending) (bool, *catkinspindle.Failure) {
+	if answer.Length >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	x.w.WriteHeader(answer.Status)
+	control := http.NewResponseController(x.w)
+	rest := io.LimitReader(answer.Body, maxPlain-int64(len(begun))+1)
+	passed := 0
+	for chunk := begun; ; {
+		err := control.SetWriteDeadline(time.Now().Add(callerStall))
+		if err == nil {
+			_, err = x.w.Write(chunk)
+		}
+		if err != nil {
+			e.Outcome = catkinspindle.OutcomeGivenUp
+			return false, x.fail(reasonGone, "the caller has gone")
+		}
+		passed += len(chunk)
+		n, err := rest.Read(begun[:cap(begun)])
+		switch {
+		case passed+n > maxPlain:
+			err = errAnswerTooLong
+		case errors.Is(err, io.EOF) && n == 0:
+			if answer.Status < http.StatusInternalServerError {
+				e.Outcome = catkinspindle.OutcomeDone
+			}
+			return true, nil
+		case errors.Is(err, io.EOF):
+			err = nil
+		}
+		if err != nil {
+			x.logAttempt(p, "broken after "+strconv.Itoa(passed)+" bytes", err)
+			return false, x.fail(catkinspindle.ReasonBackendFailed, "the answer broke off")
+		}
+		chunk = begun[:n]
+	}
+}
+
+var errAnswerTooLong = errors.New("answer is too long")
+
 func (x *exchange) head(answer *catkinspindle.Answer) {
 	x.started = true
 	x.status = answer.Status
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// maxPlain bounds an answer that is no stream, in bytes.
-	maxPlain = 16 << 20
+	// maxPlain bounds an answer that is no stream, in bytes. What is over maxGathered
+	// is passed on as it comes: a hundred answers at once must fit into the memory of
+	// a VM with 184 MB.
+	maxPlain    = 16 << 20
+	maxGathered = 256 << 10
 	// maxUnsent bounds the replicas that are tried without a connection.
 	maxUnsent = 3
 	// maxUnknown bounds the placements on replicas that this node does not know yet or
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -21,6 +21,8 @@
 const (
 	// maxStale bounds the answers to earlier requests that are passed over.
 	maxStale = 2
+	// maxStaleBody bounds the body of such an answer in bytes.
+	maxStaleBody = 256 << 10
 	// maxInterim bounds the 1xx answers before the final one.
 	maxInterim = 4
 	// inlineBody is the largest body in bytes that is written before the
@@ -102,7 +104,11 @@
 		head := c.decode(resp.StatusCode, resp.Header)
 		if head.ID != "" && head.ID != e.ID {
 			// A late second answer to an earlier request on this connection.
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody+1))
+			if err == nil && n > maxStaleBody {
+				err = fmt.Errorf("over %d bytes", maxStaleBody)
+			}
+			if err != nil {
 				return nil, fmt.Errorf("answer to another request: %w", err)
 			}
 			continue
@@ -122,7 +128,7 @@
 			keep:     !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0),
 			lifetime: head.KeepAlive,
 		}
-		return &catkinspindle.Answer{AnswerHead: head, Body: b}, nil
+		return &catkinspindle.Answer{AnswerHead: head, Length: resp.ContentLength, Body: b}, nil
 	}
 	return nil, errors.New("only answers to other requests")
 }
--- /dev/null
+++ b/replicas/endless_test.go
@@ -0,0 +1,132 @@
+package replicas_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+// babbler answers the first request with bytes that never end, until the connection is
+// closed, and all others well.
+type babbler struct {
+	listener net.Listener
+	group    errgroup.Group
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func newBabbler(t *testing.T, begin, over string) *babbler {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &babbler{listener: l, closed: make(chan struct{})}
+	b.group.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			b.group.Go(func() error {
+				b.serve(c, begin, over)
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		_ = b.group.Wait()
+	})
+	return b
+}
+
+func (b *babbler) serve(c net.Conn, begin, over string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		babbles := false
+		b.once.Do(func() { babbles = true })
+		if !babbles {
+			_, _ = io.WriteString(c, good(req.Header.Get("Attempt-Id"), "fine"))
+			continue
+		}
+		_, err = io.WriteString(c, begin)
+		for err == nil {
+			_, err = io.WriteString(c, over)
+		}
+		close(b.closed)
+		return
+	}
+}
+
+// Bytes without end in a head, an interim answer, an answer to another request, a chunk's
+// head or a trailer end the attempt: the connection is closed, and the next request on
+// another one is served.
+func TestEndlessBytesEndTheAttempt(t *testing.T) {
+	const (
+		head    = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nResponse-Seal: s\r\n"
+		other   = "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nResponse-Seal: s\r\n"
+		chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	fill := strings.Repeat("x", 4<<10)
+	tests := map[string]struct{ begin, over string }{
+		"status line":                     {"HTTP/1.1 200 ", fill},
+		"header line":                     {head + "X: ", fill},
+		"header lines":                    {head, "X: " + fill + "\r\n"},
+		"short header lines":              {head, "X: y\r\n"},
+		"interim answers":                 {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"header of an interim answer":     {"HTTP/1.1 103 Early Hints\r\n", "X: y\r\n"},
+		"answers to other requests":       {"", other + "Content-Length: 0\r\n\r\n"},
+		"body of an answer to another":    {other + "\r\n", fill},
+		"chunks of an answer to another":  {other + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+		"size of a chunk":                 {chunked + "1;", fill},
+		"extensions of chunks":            {chunked, "1;" + strings.Repeat("y", 2<<10) + "\r\nx\r\n"},
+		"trailer line":                    {chunked + "1\r\nx\r\n0\r\nX: ", fill},
+		"trailer lines":                   {chunked + "1\r\nx\r\n0\r\n", "X: y\r\n"},
+		"bytes that are not the protocol": {"", "\x00\x01" + fill},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBabbler(t, tt.begin, tt.over)
+			c := newClient()
+			defer func() { _ = c.Close() }()
+			s := &script{listener: b.listener}
+			if body, err := send(t, c, s, http.MethodPost, "a"); err == nil {
+				t.Errorf("an answer of %d bytes is taken", len(body))
+			}
+			<-b.closed
+			for i := range 3 {
+				id := fmt.Sprintf("later-%d", i)
+				if got, err := send(t, c, s, http.MethodPost, id); err != nil || got != "fine" {
+					t.Errorf("%s: body %q, error %v", id, got, err)
+				}
+			}
+		})
+	}
+}
+
+// An error after which nobody knows whether the request has run says so.
+func TestEndlessBytesPromiseNothing(t *testing.T) {
+	b := newBabbler(t, "HTTP/1.1 200 OK\r\n", "X: y\r\n")
+	c := newClient()
+	defer func() { _ = c.Close() }()
+	_, err := send(t, c, &script{listener: b.listener}, http.MethodPost, "a")
+	if f := catkinspindle.AsFailure(err); err == nil || f.Verdict != catkinspindle.MayHaveRun {
+		t.Errorf("error %v, want one that says it may have run", err)
+	}
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -20,8 +21,14 @@
 	http *http.Client
 }
 
-// maxReport bounds the body of a refusal in bytes.
-const maxReport = 64 << 10
+const (
+	// maxReport bounds the body of a refusal in bytes.
+	maxReport = 64 << 10
+	// maxJSON bounds an answer that is decoded, and maxHeader the head of any answer,
+	// both in bytes.
+	maxJSON   = 16 << 20
+	maxHeader = 64 << 10
+)
 
 // Option changes a client.
 type Option func(*http.Transport)
@@ -37,6 +44,8 @@
 		DialContext:         dialer(dialTimeout),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeader,
 	}
 	for _, opt := range opts {
 		opt(transport)
@@ -101,7 +110,14 @@
 	if v == nil {
 		return nil
 	}
-	return json.NewDecoder(resp.Body).Decode(v)
+	limited := &io.LimitedReader{R: resp.Body, N: maxJSON}
+	if err := json.NewDecoder(limited).Decode(v); err != nil {
+		if limited.N <= 0 {
+			return fmt.Errorf("answer is over %d bytes", maxJSON)
+		}
+		return err
+	}
+	return nil
 }
 
 func statusError(status int) error {
