Count the bytes that an endless answer may send

The test now counts what the replica could send until the connection was closed. site-endless-event (99 MB for a hundred streams) and site-endless-plain (1,406 MB for a hundred answers) fail as they must.

--- a/replicas/endless_test.go
+++ b/replicas/endless_test.go
@@ -15,13 +15,19 @@
 	"github.com/catkinspindle/catkinspindle"
 )
 
+// maxTaken is more than what the bounds and the sockets' buffers take.
+const maxTaken = 16 << 20
+
 // babbler answers the first request with bytes that never end, until the connection is
 // closed, and all others well.
 type babbler struct {
 	listener net.Listener
 	group    errgroup.Group
 	once     sync.Once
-	closed   chan struct{}
+	// closed ends when the client has closed the connection; sent counts the bytes that
+	// it took until then.
+	closed chan struct{}
+	sent   int
 }
 
 func newBabbler(t *testing.T, begin, over string) *babbler {
@@ -68,6 +74,7 @@
 		_, err = io.WriteString(c, begin)
 		for err == nil {
 			_, err = io.WriteString(c, over)
+			b.sent += len(over)
 		}
 		close(b.closed)
 		return
@@ -110,6 +117,9 @@
 				t.Errorf("an answer of %d bytes is taken", len(body))
 			}
 			<-b.closed
+			if b.sent > maxTaken {
+				t.Errorf("the connection was closed after %d bytes", b.sent)
+			}
 			for i := range 3 {
 				id := fmt.Sprintf("later-%d", i)
 				if got, err := send(t, c, s, http.MethodPost, id); err != nil || got != "fine" {
