Refuse answers that cannot be written to their end in time

Cause: admission estimated the first event only. A stream whose caller had 3.7 s left was accepted, began after 0.6 s and was cut at the deadline.

Change: a prompt is refused at once when its answer, by its length hint and the length of a pass, ends past the deadline. A resumed answer is not judged: what is left of it is not known. Test: TestAnswerThatCannotEndInTimeIsRefused, which fails without the change.

--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -38,7 +38,7 @@
 		MaxPause:   x.route.MaxPause,
 		Priority:   x.priority,
 		Avoid:      avoid,
-		Again:      again,
+		Again:      again || x.last != "",
 		DataCentre: x.gateway.dataCentre,
 	})
 	if p.Refused() && p.Reason == catkinspindle.ReasonNoBackend && len(closed) > 0 {
--- a/placement.go
+++ b/placement.go
@@ -22,7 +22,8 @@
 	Priority int           `cbor:"8,keyasint"`
 	// Avoid lists replicas that have failed this request.
 	Avoid []string `cbor:"9,keyasint,omitempty"`
-	// Again is true when an earlier attempt was sent to a replica.
+	// Again is true when a part of the answer may have been passed on: an earlier attempt
+	// was sent to a replica, or the caller resumes a stream.
 	Again bool `cbor:"10,keyasint,omitempty"`
 	// Returned is true when the caller was probably refused before: less time
 	// is left than callers of this route have at first.
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -228,6 +228,36 @@
 	}
 }
 
+// A stream that cannot be written to its end before the deadline is refused at once,
+// and not cut there; one of which a part has been passed on goes on.
+func TestAnswerThatCannotEndInTimeIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		job     catkinspindle.Job
+		left    time.Duration
+		again   bool
+		refused bool
+	}{
+		"short, time for all":            {short(1), 4 * time.Second, false, false},
+		"short, time for the first only": {short(1), time.Second, false, true},
+		"short, resumed":                 {short(1), time.Second, true, false},
+		"long, time for all":             {long(1, 154_000), 4 * time.Second, false, false},
+		"long, time for the first only":  {long(1, 154_000), 900 * time.Millisecond, false, true},
+		"long, resumed":                  {long(1, 154_000), 900 * time.Millisecond, true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tt.job.Left, tt.job.Again = tt.left, tt.again
+			got := planner(21).Place(start, tt.job)
+			if diff := cmp.Diff(tt.refused, got.Refused()); diff != "" {
+				t.Errorf("refused (-want +got):\n%s", diff)
+			}
+			if got.Refused() && (got.RetryAfter <= 0 || got.Reason != catkinspindle.ReasonOverload) {
+				t.Errorf("refused with %q, to come back after %s", got.Reason, got.RetryAfter)
+			}
+		})
+	}
+}
+
 // A replica that cannot be reached is left alone, then tried with one job at a
 // time until it answers.
 func TestSuspectedReplicaComesBackOnProbation(t *testing.T) {
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -58,7 +58,7 @@
 	if best == nil {
 		best, expected = p.chooseLeast(now, usable, j, m, read)
 	}
-	if p.tooLate(j, expected) {
+	if p.tooLate(j, expected) || !endsInTime(m, best, j, expected) {
 		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected), expected)
 	}
 	o := &open{job: j, replica: best, placed: now, first: expected, part: read, helpers: p.leastAhead(now, usable, best, k-1)}
@@ -161,6 +161,13 @@
 	return false
 }
 
+// endsInTime reports whether an answer that begins at r after first can be written to
+// its end before the caller's deadline. How much of a resumed one is left is not known.
+func endsInTime(m catkinspindle.EngineModel, r *replica, j catkinspindle.Job, first time.Duration) bool {
+	events := (j.Answer + m.Stride - 1) / m.Stride
+	return j.Again || first+time.Duration(max(0, events-1))*passTime(m, r) <= j.Left
+}
+
 // tooLate reports whether a job that is expected to begin at first is refused.
 func (p *Planner) tooLate(j catkinspindle.Job, first time.Duration) bool {
 	if j.Returned {
@@ -191,7 +198,7 @@
 	}
 	// One that is late even on idle replicas gains nothing by coming back.
 	idle := best.part + passTime(m, best.host)*3/2 + p.policy.IdleWait
-	if best.first > min(j.Left, max(p.longLimit(m, j), idle)) {
+	if best.first > min(j.Left, max(p.longLimit(m, j), idle)) || !endsInTime(m, best.host, j, best.first) {
 		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first), best.first)
 	}
 	o := &open{job: j, replica: best.host, helpers: best.helpers, placed: now, start: best.start.Add(-p.policy.Lead), first: best.first, part: best.part}
