Move overdue long prompts well before their deadline

Cause: silence was judged after four times the aim (12 s of 15 s for the longest prompts) and, when no other replica had room then, not again before as long a silence.

Change: twice the aim, and a search each second from then on; the budget of repeats is asked only once a replica has been found. A sound slow stream is still never cut unless another replica has room. Test: TestOverdueFirstEventMovesOn (12 s before, 6 and 8 s now).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -79,6 +79,8 @@
 	// leaving is a replica that begins to leave while a placed request waits.
 	leaving string
 	view    *view.View
+	// full is until when no other replica has room for a request that was sent already.
+	full time.Time
 }
 
 func (w *world) Place(_ context.Context, j catkinspindle.Job) catkinspindle.Placement {
@@ -87,6 +89,9 @@
 	if w.refusal != nil {
 		return *w.refusal
 	}
+	if j.Again && time.Now().Before(w.full) {
+		return catkinspindle.Placement{Reason: catkinspindle.ReasonOverload, RetryAfter: time.Second}
+	}
 	w.placed++
 	if w.leaving != "" {
 		w.view.ChangeReplicas([]view.Change{{Replica: catkinspindle.Replica{ID: w.leaving, Service: "s", Leaving: true}}}, at(2), time.Time{})
@@ -219,6 +224,8 @@
 		r.Timeout = 5 * time.Second
 		return r
 	}
+	patient := route("/patient/", catkinspindle.RepeatResume, true, 2)
+	patient.Timeout, patient.Aim, patient.MaxPause = 15*time.Second, 3*time.Second, time.Second
 	open := route("/open/", catkinspindle.RepeatAnytime, false, 2)
 	open.Public = true
 	brief := route("/brief/", catkinspindle.RepeatAnytime, false, 2)
@@ -227,7 +234,7 @@
 		Version: 1,
 		Routes: []catkinspindle.Route{
 			route("/once/", catkinspindle.RepeatNever, false, 1), route("/once-of-three/", catkinspindle.RepeatNever, false, 3), route("/any/", catkinspindle.RepeatAnytime, false, 2),
-			route("/stream/", catkinspindle.RepeatResume, true, 2), open, brief,
+			route("/stream/", catkinspindle.RepeatResume, true, 2), open, brief, patient,
 			quick(route("/quick/", catkinspindle.RepeatResume, true, 2)), short(route("/short-once/", catkinspindle.RepeatNever, false, 1)), short(route("/short/", catkinspindle.RepeatResume, true, 2)), quick(route("/quick-any/", catkinspindle.RepeatAnytime, false, 2)),
 		},
 		Services:   []catkinspindle.ReplicaService{{Name: "s"}},
@@ -384,6 +391,48 @@
 	}
 }
 
+// recorder is a caller that reads whatever comes.
+type recorder struct{ *httptest.ResponseRecorder }
+
+func (recorder) SetWriteDeadline(time.Time) error { return nil }
+
+// A long prompt on a replica that stays silent moves on well before its caller's deadline:
+// when its first event is long overdue, or as soon as another replica has room after
+// that.
+func TestOverdueFirstEventMovesOn(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n"
+	tests := map[string]struct{ full, want time.Duration }{
+		"another replica has room": {0, 6 * time.Second},
+		"has room later":           {7500 * time.Millisecond, 8 * time.Second},
+		"never has":                {time.Hour, 15 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{steps: []step{{status: 200, silent: true}, {status: 200, body: whole}}, full: time.Now().Add(tt.full)}
+				g := build(w, w, 9, true)
+				answer := recorder{httptest.NewRecorder()}
+				began := time.Now()
+				func() {
+					defer func() {
+						// A stream that may have run ends with its connection.
+						if r := recover(); r != nil && r != http.ErrAbortHandler {
+							panic(r)
+						}
+					}()
+					g.ServeHTTP(answer, request("/patient/"))
+				}()
+				if diff := cmp.Diff(tt.want, time.Since(began)); diff != "" {
+					t.Errorf("time to the answer (-want +got):\n%s", diff)
+				}
+				if moved := tt.full < time.Hour; moved != (answer.Body.String() == whole) {
+					t.Errorf("status %d, body %q", answer.Code, answer.Body)
+				}
+			})
+		})
+	}
+}
+
 // Comments and parts of an event are no signs of life: a stream that brings nothing
 // else goes on at another replica. One that brings whole events is left alone, however
 // slowly they come within the limit.
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -99,13 +99,14 @@
 	if x.route.Repeat == catkinspindle.RepeatNever || sent >= x.route.MaxAttempts {
 		return false
 	}
-	if !x.gateway.budget.Repeat(time.Now(), x.service) {
-		return false
-	}
 	p := x.job(ctx, avoid, true)
 	if p.Refused() {
 		return false
 	}
+	if !x.gateway.budget.Repeat(time.Now(), x.service) {
+		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+		return false
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.secured = &p
@@ -210,5 +211,5 @@
 	if !x.route.Streaming {
 		return max(minStall, 4*x.route.Aim)
 	}
-	return max(minStall, 3*p.First, 3*x.route.MaxPause, 4*x.route.Aim)
+	return max(minStall, 3*p.First, 3*x.route.MaxPause, 2*x.route.Aim)
 }
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// searchPause is the pause after which a replica is looked for again while the present
+// one stays silent.
+const searchPause = time.Second
+
 var errStalled = errors.New("the replica is silent")
 
 // stall watches an attempt for silence. Silence alone does not end an answer:
@@ -52,7 +56,7 @@
 		s.stay()
 	}
 	if !s.stopped {
-		s.timer.Reset(s.limit)
+		s.timer.Reset(min(s.limit, searchPause))
 	}
 }
 
