--- a/addresses/answerer.go
+++ b/addresses/answerer.go
@@ -17,14 +17,14 @@
 
 // Answerer answers with the nodes that take callers.
 type Answerer struct {
-	live     func() []catkinspindle.Fellow
+	live     func() []catkinspindle.Node
 	ready    func() bool
 	lifetime time.Duration
 	encode   Encoder
 }
 
 // New returns an answerer whose answers may be kept for lifetime.
-func New(live func() []catkinspindle.Fellow, ready func() bool, lifetime time.Duration, encode Encoder) *Answerer {
+func New(live func() []catkinspindle.Node, ready func() bool, lifetime time.Duration, encode Encoder) *Answerer {
 	return &Answerer{live: live, ready: ready, lifetime: lifetime, encode: encode}
 }
 
@@ -46,7 +46,7 @@
 
 // spread returns the addresses of up to maxAddresses nodes, as many of each data centre
 // as there are, so that what befalls one of them befalls few callers.
-func spread(nodes []catkinspindle.Fellow) []string {
+func spread(nodes []catkinspindle.Node) []string {
 	var order []string
 	groups := map[string][]string{}
 	for _, n := range nodes {
--- a/addresses/answerer_test.go
+++ b/addresses/answerer_test.go
@@ -15,12 +15,12 @@
 )
 
 func answer(nodes int, ready bool) *addresses.Answerer {
-	live := func() []catkinspindle.Fellow {
-		var list []catkinspindle.Fellow
+	live := func() []catkinspindle.Node {
+		var list []catkinspindle.Node
 		for i := range nodes {
-			list = append(list, catkinspindle.Fellow{CallersAddress: fmt.Sprintf("a%d", i)})
+			list = append(list, catkinspindle.Node{CallersAddress: fmt.Sprintf("a%d", i)})
 		}
-		return append(list, catkinspindle.Fellow{Name: "without an address"})
+		return append(list, catkinspindle.Node{Name: "without an address"})
 	}
 	encode := func(list []string, lifetime time.Duration) ([]byte, error) {
 		return []byte(strings.Join(list, " ") + " " + lifetime.String()), nil
@@ -62,14 +62,14 @@
 
 // Of many nodes as many of each data centre are named, whatever their names.
 func TestAddressesOfAllDataCentres(t *testing.T) {
-	var nodes []catkinspindle.Fellow
+	var nodes []catkinspindle.Node
 	for _, dc := range []string{"a", "b", "c", "d", "e"} {
 		for i := range 59 {
-			nodes = append(nodes, catkinspindle.Fellow{Name: fmt.Sprintf("%s-%d", dc, i), CallersAddress: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc})
+			nodes = append(nodes, catkinspindle.Node{Name: fmt.Sprintf("%s-%d", dc, i), CallersAddress: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc})
 		}
 	}
 	named := map[string]int{}
-	a := addresses.New(func() []catkinspindle.Fellow { return nodes }, func() bool { return true }, time.Second,
+	a := addresses.New(func() []catkinspindle.Node { return nodes }, func() bool { return true }, time.Second,
 		func(list []string, _ time.Duration) ([]byte, error) {
 			for _, address := range list {
 				named[address[:1]]++
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -42,8 +42,8 @@
 type Coordinator struct {
 	planner *placement.Planner
 	peers   catkinspindle.Peers
-	home    func(catkinspindle.Pool) (catkinspindle.Fellow, bool)
-	suspect func(catkinspindle.Fellow)
+	home    func(catkinspindle.Pool) (catkinspindle.Node, bool)
+	suspect func(catkinspindle.Node)
 	self    string
 	owner   string
 	log     *slog.Logger
@@ -91,7 +91,7 @@
 // New returns a coordinator that places with planner when home names this
 // node for a job's pool or no other one that answers. suspect is told of a
 // coordinator that does not answer.
-func New(self catkinspindle.Fellow, planner *placement.Planner, peers catkinspindle.Peers, home func(catkinspindle.Pool) (catkinspindle.Fellow, bool), suspect func(catkinspindle.Fellow), log *slog.Logger, opts ...Option) *Coordinator {
+func New(self catkinspindle.Node, planner *placement.Planner, peers catkinspindle.Peers, home func(catkinspindle.Pool) (catkinspindle.Node, bool), suspect func(catkinspindle.Node), log *slog.Logger, opts ...Option) *Coordinator {
 	c := &Coordinator{
 		planner: planner,
 		peers:   peers,
@@ -114,7 +114,7 @@
 	return c
 }
 
-func owner(f catkinspindle.Fellow) string { return fmt.Sprintf("%s/%d/", f.Name, f.Incarnation) }
+func owner(f catkinspindle.Node) string { return fmt.Sprintf("%s/%d/", f.Name, f.Incarnation) }
 
 // Start implements catkinspindle.Service.
 func (c *Coordinator) Start(context.Context) error {
@@ -285,7 +285,7 @@
 	return false
 }
 
-func (c *Coordinator) send(ctx context.Context, to catkinspindle.Fellow, kind string, message any) error {
+func (c *Coordinator) send(ctx context.Context, to catkinspindle.Node, kind string, message any) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	return c.peers.Call(ctx, to.PeerAddress, kind, message, nil)
@@ -316,8 +316,8 @@
 	c.wakeUp()
 }
 
-// Bury drops the jobs of a dead node.
-func (c *Coordinator) Bury(dead catkinspindle.Fellow) { c.planner.Forget(owner(dead)) }
+// RemoveNode drops the jobs of a dead node.
+func (c *Coordinator) RemoveNode(dead catkinspindle.Node) { c.planner.Forget(owner(dead)) }
 
 func (c *Coordinator) handlePlace(_ context.Context, decode func(any) error) (any, error) {
 	var j catkinspindle.Job
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -20,8 +20,8 @@
 
 var (
 	errSilent = errors.New("no answer")
-	self      = catkinspindle.Fellow{Name: "n1", Incarnation: 1, PeerAddress: "p1"}
-	home      = catkinspindle.Fellow{Name: "n0", Incarnation: 1, PeerAddress: "p0"}
+	self      = catkinspindle.Node{Name: "n1", Incarnation: 1, PeerAddress: "p1"}
+	home      = catkinspindle.Node{Name: "n0", Incarnation: 1, PeerAddress: "p0"}
 )
 
 // link connects a node with the coordinator.
@@ -91,11 +91,11 @@
 	a, b := &link{handlers: map[string]catkinspindle.PeerHandler{}}, &link{handlers: map[string]catkinspindle.PeerHandler{}}
 	a.other, b.other = b, a
 	p := &pair{link: b, ledger: newPlanner()}
-	at := func(catkinspindle.Pool) (catkinspindle.Fellow, bool) { return home, true }
+	at := func(catkinspindle.Pool) (catkinspindle.Node, bool) { return home, true }
 	log := slog.New(slog.DiscardHandler)
-	first := coordinator.New(home, p.ledger, a, at, func(catkinspindle.Fellow) {}, log,
+	first := coordinator.New(home, p.ledger, a, at, func(catkinspindle.Node) {}, log,
 		coordinator.WithDepartures(func(d catkinspindle.Departure) { p.departed = append(p.departed, d) }))
-	p.node = coordinator.New(self, newPlanner(), b, at, func(catkinspindle.Fellow) { p.suspected++ }, log)
+	p.node = coordinator.New(self, newPlanner(), b, at, func(catkinspindle.Node) { p.suspected++ }, log)
 	for _, c := range []*coordinator.Coordinator{first, p.node} {
 		if err := c.Start(context.Background()); err != nil {
 			t.Fatal(err)
@@ -185,11 +185,11 @@
 func TestPoolsArePlacedByTheirCoordinators(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const parts, each = 2, 5
-		homes := []catkinspindle.Fellow{{Name: "h0", PeerAddress: "p0"}, {Name: "h1", PeerAddress: "p1"}, {Name: "h2", PeerAddress: "p2"}}
+		homes := []catkinspindle.Node{{Name: "h0", PeerAddress: "p0"}, {Name: "h1", PeerAddress: "p1"}, {Name: "h2", PeerAddress: "p2"}}
 		links, ledgers := map[string]*link{}, map[string]*placement.Planner{}
 		log := slog.New(slog.DiscardHandler)
 		second := 1
-		at := func(p catkinspindle.Pool) (catkinspindle.Fellow, bool) {
+		at := func(p catkinspindle.Pool) (catkinspindle.Node, bool) {
 			if p.Part == 0 {
 				return homes[0], true
 			}
@@ -208,9 +208,9 @@
 		var all []*coordinator.Coordinator
 		for _, h := range homes {
 			links[h.PeerAddress], ledgers[h.Name] = &link{handlers: map[string]catkinspindle.PeerHandler{}}, large()
-			all = append(all, coordinator.New(h, ledgers[h.Name], links[h.PeerAddress], at, func(catkinspindle.Fellow) {}, log))
+			all = append(all, coordinator.New(h, ledgers[h.Name], links[h.PeerAddress], at, func(catkinspindle.Node) {}, log))
 		}
-		node := coordinator.New(self, large(), &hub{links: links}, at, func(catkinspindle.Fellow) {}, log)
+		node := coordinator.New(self, large(), &hub{links: links}, at, func(catkinspindle.Node) {}, log)
 		all = append(all, node)
 		for _, c := range all {
 			if err := c.Start(context.Background()); err != nil {
--- a/events/event.go
+++ b/events/event.go
@@ -21,7 +21,7 @@
 	StoreRestored     Event = 2103
 	NodeReloaded      Event = 1005
 	HubChanged        Event = 3003
-	FellowLost        Event = 3004
+	NodeLost          Event = 3004
 	ReplicaChanged    Event = 4004
 	ReplicaFailed     Event = 4005
 	RequestEnded      Event = 5003
--- a/fleet/parcel.go
+++ b/fleet/archive.go
@@ -27,10 +27,10 @@
 	maxUnpacked = 16 << 20
 )
 
-// parcel is a routing configuration or a list of replicas as it travels between
+// archive is a routing configuration or a list of replicas as it travels between
 // nodes. A thousand entries take hundreds of kilobytes as they are; sent to all
 // nodes at once they would delay every other message of a hub.
-type parcel struct {
+type archive struct {
 	// Version is that of the configuration, At the position of the list.
 	Version int64                  `cbor:"1,keyasint,omitempty"`
 	At      catkinspindle.Position `cbor:"4,keyasint"`
@@ -43,7 +43,7 @@
 }
 
 // name says in logs what p is.
-func (p parcel) name() string {
+func (p archive) name() string {
 	if p.Version > 0 {
 		return fmt.Sprintf("version %d", p.Version)
 	}
@@ -51,12 +51,12 @@
 }
 
 // sameContent reports whether p and o have the same content.
-func (p parcel) sameContent(o parcel) bool { return p.Version == o.Version && p.At == o.At }
+func (p archive) sameContent(o archive) bool { return p.Version == o.Version && p.At == o.At }
 
 var errNoList = errors.New("no list of replicas")
 
 // pack returns p with content.
-func (p parcel) pack(content any) (parcel, error) {
+func (p archive) pack(content any) (archive, error) {
 	var buf bytes.Buffer
 	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
 	if err != nil {
@@ -72,7 +72,7 @@
 	return p, nil
 }
 
-func (p parcel) unpack(content any) error {
+func (p archive) unpack(content any) error {
 	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Deflated)), maxUnpacked))
 	if err != nil {
 		return fmt.Errorf("decompress %s: %w", p.name(), err)
@@ -83,14 +83,14 @@
 	return nil
 }
 
-// packer keeps the last parcel, so that a version is packed once for all nodes.
+// packer keeps the last archive, so that a version is packed once for all nodes.
 type packer struct {
 	mu   sync.Mutex
-	last parcel
+	last archive
 }
 
 // pack returns empty with content.
-func (p *packer) pack(empty parcel, content any) (parcel, error) {
+func (p *packer) pack(empty archive, content any) (archive, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.last.sameContent(empty) || p.last.Deflated == nil {
@@ -107,15 +107,15 @@
 }
 
 // routing returns the known configuration.
-func (f *Fleet) routing() (parcel, error) {
+func (f *Fleet) routing() (archive, error) {
 	state := f.view.State()
-	return f.packedRouting.pack(parcel{Version: state.Version()}, state.Table.Routing())
+	return f.packedRouting.pack(archive{Version: state.Version()}, state.Table.Routing())
 }
 
 // replicas returns the known list of replicas.
-func (f *Fleet) replicas() (parcel, error) {
+func (f *Fleet) replicas() (archive, error) {
 	list, at, wait := f.view.Confirmed()
-	return f.packedReplicas.pack(parcel{At: at, Wait: wait, Removed: f.view.Removed()}, list)
+	return f.packedReplicas.pack(archive{At: at, Wait: wait, Removed: f.view.Removed()}, list)
 }
 
 // handleRouting answers with the known configuration.
@@ -131,14 +131,14 @@
 
 // fetch asks a hub for its configuration or list, unless another hub is being
 // asked. When it fails, the next answer to a heartbeat starts it again.
-func (f *Fleet) fetch(ctx context.Context, busy *sync.Mutex, from catkinspindle.Fellow, kind string, adopt func(parcel, string)) {
+func (f *Fleet) fetch(ctx context.Context, busy *sync.Mutex, from catkinspindle.Node, kind string, adopt func(archive, string)) {
 	if !busy.TryLock() {
 		return
 	}
 	defer busy.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	var p parcel
+	var p archive
 	if err := f.peers.Call(ctx, from.PeerAddress, kind, struct{}{}, &p); err != nil {
 		f.log.Warn("hub did not send what it has", events.PeerUnreachable.Attr(), "node", from.Name, "kind", kind, "error", err)
 		return
@@ -146,7 +146,7 @@
 	adopt(p, from.Name)
 }
 
-func (f *Fleet) adoptRouting(p parcel, source string) {
+func (f *Fleet) adoptRouting(p archive, source string) {
 	if p.Version <= f.view.State().Version() {
 		return
 	}
@@ -164,7 +164,7 @@
 	}
 }
 
-func (f *Fleet) adoptReplicas(p parcel, source string) {
+func (f *Fleet) adoptReplicas(p archive, source string) {
 	if !p.At.After(f.view.State().ReplicasAt) {
 		return
 	}
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -10,7 +10,7 @@
 )
 
 type beatMessage struct {
-	From          catkinspindle.Fellow   `cbor:"1,keyasint"`
+	From          catkinspindle.Node     `cbor:"1,keyasint"`
 	ConfigVersion int64                  `cbor:"2,keyasint"`
 	ReplicasAt    catkinspindle.Position `cbor:"3,keyasint"`
 	// LiveHash is of the list of live nodes that this node has, and WantsLive true
@@ -34,9 +34,9 @@
 
 // news is what a node knows and a hub does not.
 type news struct {
-	Routing  *parcel `cbor:"1,keyasint,omitempty"`
-	Replicas *parcel `cbor:"2,keyasint,omitempty"`
-	From     string  `cbor:"4,keyasint"`
+	Routing  *archive `cbor:"1,keyasint,omitempty"`
+	Replicas *archive `cbor:"2,keyasint,omitempty"`
+	From     string   `cbor:"4,keyasint"`
 }
 
 type beatAnswer struct {
@@ -45,7 +45,7 @@
 	Changes       []view.Change          `cbor:"2,keyasint,omitempty"`
 	ReplicasAt    catkinspindle.Position `cbor:"3,keyasint"`
 	Live          *liveChange            `cbor:"4,keyasint,omitempty"`
-	From          catkinspindle.Fellow   `cbor:"5,keyasint"`
+	From          catkinspindle.Node     `cbor:"5,keyasint"`
 	ConfigVersion int64                  `cbor:"6,keyasint"`
 	// Known is true when Changes are complete.
 	Known bool `cbor:"9,keyasint,omitempty"`
@@ -61,7 +61,7 @@
 	Unregistered bool `cbor:"12,keyasint,omitempty"`
 }
 
-func (f *Fleet) beat(ctx context.Context, to catkinspindle.Fellow, m beatMessage) {
+func (f *Fleet) beat(ctx context.Context, to catkinspindle.Node, m beatMessage) {
 	told := f.addDepartures(to, &m)
 	a, err := f.sendBeat(ctx, to, m)
 	f.mu.Lock()
@@ -87,9 +87,9 @@
 			f.judge(known.answered, f.hubs(known.answered), false)
 		}
 		if a.From.Incarnation > known.Incarnation {
-			f.buried = append(f.buried, known.Fellow)
+			f.replaced = append(f.replaced, known.Node)
 			rank := known.Rank
-			known.Fellow = a.From
+			known.Node = a.From
 			known.Rank = max(rank, a.From.Rank)
 		}
 		known.Leaving = known.Leaving || a.From.Leaving
@@ -106,13 +106,13 @@
 	if a.Unregistered {
 		f.registrationLost("hub", to.Name)
 	}
-	f.hearDepartures(a.Departures, to.Name)
+	f.noteDepartures(a.Departures, to.Name)
 	f.catchUp(ctx, to, a)
 	f.tell(ctx, to, a)
 }
 
 // catchUp adopts what a hub knows and this node does not.
-func (f *Fleet) catchUp(ctx context.Context, hub catkinspindle.Fellow, a beatAnswer) {
+func (f *Fleet) catchUp(ctx context.Context, hub catkinspindle.Node, a beatAnswer) {
 	if a.Known {
 		// What another hub's answer has brought meanwhile is applied again.
 		f.view.ChangeReplicas(a.Changes, a.ReplicasAt, time.Time{})
@@ -125,7 +125,7 @@
 	}
 }
 
-func (f *Fleet) sendBeat(ctx context.Context, to catkinspindle.Fellow, m beatMessage) (a beatAnswer, err error) {
+func (f *Fleet) sendBeat(ctx context.Context, to catkinspindle.Node, m beatMessage) (a beatAnswer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	err = f.peers.Call(ctx, to.PeerAddress, beatKind, m, &a)
@@ -133,7 +133,7 @@
 }
 
 // tell tells a hub what it does not know yet.
-func (f *Fleet) tell(ctx context.Context, to catkinspindle.Fellow, a beatAnswer) {
+func (f *Fleet) tell(ctx context.Context, to catkinspindle.Node, a beatAnswer) {
 	state := f.view.State()
 	n := news{From: f.self.Name}
 	if state.Version() > a.ConfigVersion {
@@ -153,7 +153,7 @@
 }
 
 // packed returns what could be packed, or nil.
-func (f *Fleet) packed(p parcel, err error) *parcel {
+func (f *Fleet) packed(p archive, err error) *archive {
 	if err != nil {
 		f.log.Error("what a hub lacks cannot be packed", events.PeerMalformed.Attr(), "error", err)
 		return nil
@@ -161,7 +161,7 @@
 	return &p
 }
 
-func (f *Fleet) hearNews(_ context.Context, decode func(any) error) (any, error) {
+func (f *Fleet) handleNews(_ context.Context, decode func(any) error) (any, error) {
 	var n news
 	if err := decode(&n); err != nil {
 		return nil, err
@@ -181,7 +181,7 @@
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
-	f.hearDepartures(m.Departures, m.From.Name)
+	f.noteDepartures(m.Departures, m.From.Name)
 	state := f.view.State()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -218,7 +218,7 @@
 
 // addDepartures adds to a heartbeat what the hub does not know of the replicas that
 // leave, and returns the position in this node's log that the hub has then.
-func (f *Fleet) addDepartures(to catkinspindle.Fellow, m *beatMessage) (told uint64) {
+func (f *Fleet) addDepartures(to catkinspindle.Node, m *beatMessage) (told uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if known, ok := f.known[to.Name]; ok {
@@ -228,8 +228,8 @@
 	return told
 }
 
-// hearDepartures notes which replicas have told another node that they leave.
-func (f *Fleet) hearDepartures(list []catkinspindle.Departure, source string) {
+// noteDepartures notes which replicas have told another node that they leave.
+func (f *Fleet) noteDepartures(list []catkinspindle.Departure, source string) {
 	for _, d := range list {
 		if f.view.Leave(d, false) {
 			f.log.Info("replica leaves", events.ReplicaChanged.Attr(), "replica", d.ID, "born", d.Born, "source", source)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,7 +55,7 @@
 
 // Fleet is a node's membership. It implements catkinspindle.Service.
 type Fleet struct {
-	self  catkinspindle.Fellow
+	self  catkinspindle.Node
 	peers catkinspindle.Peers
 	view  *view.View
 	log   *slog.Logger
@@ -71,16 +71,16 @@
 	packedRouting, packedReplicas     packer
 
 	mu      sync.Mutex
-	known   map[string]*fellow
+	known   map[string]*member
 	leaving bool
 	// live are the live nodes by the coordinator's last word, past what they were
 	// before.
 	live liveList
 	past []liveList
-	home catkinspindle.Fellow
+	home catkinspindle.Node
 	// answering are the hubs that answer, in their order, this node among them when
 	// it is one.
-	answering []catkinspindle.Fellow
+	answering []catkinspindle.Node
 	// leads is true when this node is the first hub, and not merely the only
 	// one that it hears.
 	leads   bool
@@ -100,9 +100,9 @@
 	probe    func(context.Context) bool
 	probed   int
 	inPlace  bool
-	onHome   func(catkinspindle.Fellow)
+	onHome   func(catkinspindle.Node)
 	onHubs   func()
-	onDeath  func(catkinspindle.Fellow)
+	onDeath  func(catkinspindle.Node)
 	watching context.CancelFunc
 	// registered are the incarnations that the store lists, by node; nil until this
 	// node has listed them. onUnregistered is called when this node is not among them,
@@ -110,12 +110,12 @@
 	registered      map[string]int64
 	onUnregistered  func()
 	registeredAgain time.Time
-	// buried are incarnations that newer ones have replaced since the last turn.
-	buried []catkinspindle.Fellow
+	// replaced are incarnations that newer ones have replaced since the last turn.
+	replaced []catkinspindle.Node
 }
 
-type fellow struct {
-	catkinspindle.Fellow
+type member struct {
+	catkinspindle.Node
 	// heard is when it last sent a heartbeat to this node.
 	heard time.Time
 	// missed counts heartbeats to it that failed in a row.
@@ -147,7 +147,7 @@
 type Option func(*Fleet)
 
 // WithCoordinatorChange calls f when another node becomes the coordinator.
-func WithCoordinatorChange(f func(catkinspindle.Fellow)) Option {
+func WithCoordinatorChange(f func(catkinspindle.Node)) Option {
 	return func(l *Fleet) { l.onHome = f }
 }
 
@@ -168,7 +168,7 @@
 }
 
 // WithDeath calls f when a node counts as dead.
-func WithDeath(f func(catkinspindle.Fellow)) Option {
+func WithDeath(f func(catkinspindle.Node)) Option {
 	return func(l *Fleet) { l.onDeath = f }
 }
 
@@ -178,19 +178,19 @@
 }
 
 // New returns a fleet that shares v. watch follows the store into v and Learn.
-func New(self catkinspindle.Fellow, peers catkinspindle.Peers, v *view.View, watch func(context.Context), log *slog.Logger, opts ...Option) *Fleet {
+func New(self catkinspindle.Node, peers catkinspindle.Peers, v *view.View, watch func(context.Context), log *slog.Logger, opts ...Option) *Fleet {
 	f := &Fleet{
 		self:    self,
 		peers:   peers,
 		view:    v,
 		watch:   watch,
 		log:     log,
-		known:   map[string]*fellow{self.Name: {Fellow: self}},
+		known:   map[string]*member{self.Name: {Node: self}},
 		blind:   func() bool { return false },
 		probe:   func(context.Context) bool { return true },
-		onHome:  func(catkinspindle.Fellow) {},
+		onHome:  func(catkinspindle.Node) {},
 		onHubs:  func() {},
-		onDeath: func(catkinspindle.Fellow) {},
+		onDeath: func(catkinspindle.Node) {},
 
 		onUnregistered: func() {},
 	}
@@ -198,7 +198,7 @@
 		opt(f)
 	}
 	peers.Handle(beatKind, f.answer)
-	peers.Handle(newsKind, f.hearNews)
+	peers.Handle(newsKind, f.handleNews)
 	peers.Handle(routingKind, f.handleRouting)
 	peers.Handle(replicasKind, f.handleReplicas)
 	return f
@@ -233,7 +233,7 @@
 }
 
 // Learn replaces the registered nodes by what the store says.
-func (f *Fleet) Learn(list []catkinspindle.Fellow) {
+func (f *Fleet) Learn(list []catkinspindle.Node) {
 	f.mu.Lock()
 	f.registered = make(map[string]int64, len(list))
 	f.listed = f.watching != nil
@@ -254,7 +254,7 @@
 }
 
 // LearnOne enters a node that the store reports.
-func (f *Fleet) LearnOne(n catkinspindle.Fellow) {
+func (f *Fleet) LearnOne(n catkinspindle.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.registered != nil {
@@ -273,7 +273,7 @@
 	}
 }
 
-func (f *Fleet) learn(n catkinspindle.Fellow) {
+func (f *Fleet) learn(n catkinspindle.Node) {
 	if n.Name == f.self.Name {
 		if n.Incarnation == f.self.Incarnation {
 			f.self.Rank = n.Rank
@@ -283,20 +283,20 @@
 	}
 	known, ok := f.known[n.Name]
 	if !ok {
-		f.known[n.Name] = &fellow{Fellow: n, presumed: time.Now().Add(silence)}
+		f.known[n.Name] = &member{Node: n, presumed: time.Now().Add(silence)}
 		return
 	}
 	if n.Incarnation < known.Incarnation {
 		return
 	}
 	if n.Incarnation > known.Incarnation {
-		f.buried = append(f.buried, known.Fellow)
-		*known = fellow{Fellow: n, heard: known.heard, presumed: time.Now().Add(silence)}
+		f.replaced = append(f.replaced, known.Node)
+		*known = member{Node: n, heard: known.heard, presumed: time.Now().Add(silence)}
 		return
 	}
 	leaving := known.Leaving || n.Leaving
 	rank := max(known.Rank, n.Rank)
-	known.Fellow = n
+	known.Node = n
 	known.Leaving, known.Rank = leaving, rank
 }
 
@@ -316,18 +316,18 @@
 }
 
 // Live returns the nodes that take callers.
-func (f *Fleet) Live() []catkinspindle.Fellow {
+func (f *Fleet) Live() []catkinspindle.Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	live := f.live.nodes
 	if len(live) == 0 {
 		// No coordinator has been heard yet: whoever is registered counts.
 		for _, n := range f.known {
-			live = append(live, n.Fellow)
+			live = append(live, n.Node)
 		}
-		slices.SortFunc(live, func(a, b catkinspindle.Fellow) int { return cmp.Compare(a.Name, b.Name) })
+		slices.SortFunc(live, func(a, b catkinspindle.Node) int { return cmp.Compare(a.Name, b.Name) })
 	}
-	list := make([]catkinspindle.Fellow, 0, len(live)+1)
+	list := make([]catkinspindle.Node, 0, len(live)+1)
 	self := false
 	for _, n := range live {
 		if known, ok := f.known[n.Name]; n.Leaving || (ok && known.Leaving) {
@@ -353,7 +353,7 @@
 // Coordinator returns the node that places the jobs of a pool: the first hub that
 // answers, or for one of several pools the hub with the highest score for it, so
 // that few pools move when a hub goes. ok is false when none is known to answer.
-func (f *Fleet) Coordinator(p catkinspindle.Pool) (home catkinspindle.Fellow, ok bool) {
+func (f *Fleet) Coordinator(p catkinspindle.Pool) (home catkinspindle.Node, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !p.Divided() {
@@ -370,7 +370,7 @@
 }
 
 // Self returns this node.
-func (f *Fleet) Self() catkinspindle.Fellow {
+func (f *Fleet) Self() catkinspindle.Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.self
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -121,7 +121,7 @@
 
 type node struct {
 	*fleet.Fleet
-	self     catkinspindle.Fellow
+	self     catkinspindle.Node
 	view     *view.View
 	mu       sync.Mutex
 	watching bool
@@ -173,12 +173,12 @@
 	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
 	var (
 		nodes   []*node
-		fellows []catkinspindle.Fellow
+		members []catkinspindle.Node
 	)
 	for i := range count {
-		fellows = append(fellows, fellow(i, 1))
+		members = append(members, member(i, 1))
 	}
-	for _, self := range fellows {
+	for _, self := range members {
 		n := &node{self: self, view: view.New(nil)}
 		n.Fleet = fleet.New(self, port{net, self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler), append([]fleet.Option{
 			fleet.WithProbe(n.reaches),
@@ -187,13 +187,13 @@
 				defer n.mu.Unlock()
 				return n.lost
 			}),
-			fleet.WithDeath(func(f catkinspindle.Fellow) {
+			fleet.WithDeath(func(f catkinspindle.Node) {
 				n.mu.Lock()
 				defer n.mu.Unlock()
 				n.dead = append(n.dead, fmt.Sprintf("%s/%d", f.Name, f.Incarnation))
 			}),
 		}, opts...)...)
-		n.Learn(fellows)
+		n.Learn(members)
 		nodes = append(nodes, n)
 	}
 	for _, n := range nodes {
@@ -204,9 +204,9 @@
 	return net, nodes
 }
 
-func fellow(i int, incarnation int64) catkinspindle.Fellow {
+func member(i int, incarnation int64) catkinspindle.Node {
 	name := fmt.Sprintf("n%d", i)
-	return catkinspindle.Fellow{Name: name, Incarnation: incarnation, PeerAddress: "peer-" + name, CallersAddress: "callers-" + name, Rank: int64(10*incarnation + int64(i))}
+	return catkinspindle.Node{Name: name, Incarnation: incarnation, PeerAddress: "peer-" + name, CallersAddress: "callers-" + name, Rank: int64(10*incarnation + int64(i))}
 }
 
 func stop(t *testing.T, nodes []*node) {
@@ -218,7 +218,7 @@
 	}
 }
 
-func names(list []catkinspindle.Fellow) (out []string) {
+func names(list []catkinspindle.Node) (out []string) {
 	for _, f := range list {
 		out = append(out, f.Name)
 	}
@@ -521,13 +521,13 @@
 		net, nodes := startNodes(t, 4)
 		defer stop(t, nodes)
 		time.Sleep(2 * time.Second)
-		reborn := fellow(3, 2)
+		reborn := member(3, 2)
 		if err := nodes[3].Stop(context.Background()); err != nil {
 			t.Fatal(err)
 		}
 		n := &node{self: reborn, view: view.New(nil)}
 		n.Fleet = fleet.New(reborn, port{net, reborn.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler))
-		n.Learn([]catkinspindle.Fellow{fellow(0, 1), fellow(1, 1), fellow(2, 1), reborn})
+		n.Learn([]catkinspindle.Node{member(0, 1), member(1, 1), member(2, 1), reborn})
 		nodes[3] = n
 		if err := n.Start(context.Background()); err != nil {
 			t.Fatal(err)
@@ -536,7 +536,7 @@
 		nodes[0].mu.Lock()
 		defer nodes[0].mu.Unlock()
 		if diff := cmp.Diff([]string{"n3/1"}, nodes[0].dead); diff != "" {
-			t.Errorf("buried at the coordinator (-want +got):\n%s", diff)
+			t.Errorf("replaced at the coordinator (-want +got):\n%s", diff)
 		}
 	})
 }
@@ -813,10 +813,10 @@
 				t.Fatal(err)
 			}
 		}
-		var reborn []catkinspindle.Fellow
+		var reborn []catkinspindle.Node
 		for i := range 4 {
-			f := fellow(i, 2)
-			f.Rank = fellow(i, 1).Rank // They stay the hubs.
+			f := member(i, 2)
+			f.Rank = member(i, 1).Rank // They stay the hubs.
 			reborn = append(reborn, f)
 		}
 		for i := range 4 {
@@ -845,9 +845,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const count = 24
 		net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
-		var old []catkinspindle.Fellow
+		var old []catkinspindle.Node
 		for i := range count {
-			f := fellow(i, 1)
+			f := member(i, 1)
 			f.DataCentre = fmt.Sprintf("dc%d", i%3)
 			old = append(old, f)
 		}
@@ -901,17 +901,17 @@
 		if err := nodes[0].Stop(context.Background()); err != nil {
 			t.Fatal(err)
 		}
-		reborn := fellow(0, 2)
+		reborn := member(0, 2)
 		n := &node{self: reborn, view: view.New(nil)}
 		n.Fleet = fleet.New(reborn, port{net, reborn.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler),
-			fleet.WithDeath(func(f catkinspindle.Fellow) {
+			fleet.WithDeath(func(f catkinspindle.Node) {
 				n.mu.Lock()
 				defer n.mu.Unlock()
 				n.dead = append(n.dead, f.Name)
 			}))
-		list := []catkinspindle.Fellow{reborn}
+		list := []catkinspindle.Node{reborn}
 		for i := 1; i < 8; i++ {
-			list = append(list, fellow(i, 1))
+			list = append(list, member(i, 1))
 		}
 		n.Learn(list)
 		nodes[0] = n
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -14,12 +14,12 @@
 // VMs first, and of equal ones the first of each data centre, then the second of each,
 // so that the loss of a data centre leaves hubs. The order rests on what does not change
 // when nodes start again: after a restart of all everybody agrees on it at once.
-func (f *Fleet) ranked() []*fellow {
-	list := make([]*fellow, 0, len(f.known))
+func (f *Fleet) ranked() []*member {
+	list := make([]*member, 0, len(f.known))
 	for _, n := range f.known {
 		list = append(list, n)
 	}
-	slices.SortFunc(list, func(a, b *fellow) int {
+	slices.SortFunc(list, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(len(a.Name), len(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	type group struct {
@@ -32,7 +32,7 @@
 		n.place = members[g]
 		members[g]++
 	}
-	slices.SortStableFunc(list, func(a, b *fellow) int {
+	slices.SortStableFunc(list, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.place, b.place), cmp.Compare(a.DataCentre, b.DataCentre))
 	})
 	return list
@@ -44,9 +44,9 @@
 	f.mu.Lock()
 	ranked := f.hubs(now)
 	isHub := false
-	heard, sighted := false, false
+	heard, storeSeen := false, false
 	informed := f.watching != nil && f.listed && !f.blind()
-	var others []fellow
+	var others []member
 	for _, h := range ranked {
 		if h.Name == f.self.Name {
 			isHub = true
@@ -55,18 +55,18 @@
 		others = append(others, *h)
 		if now.Sub(h.answered) < silence {
 			heard = true
-			sighted = sighted || !h.blind
+			storeSeen = storeSeen || !h.blind
 			informed = informed || !h.blind
 		}
 	}
-	sighted = sighted || (isHub && !f.blind())
-	f.setBlindSince(now, !sighted && (heard || isHub))
+	storeSeen = storeSeen || (isHub && !f.blind())
+	f.setBlindSince(now, !storeSeen && (heard || isHub))
 	upToDate := f.setInformedSince(now, informed)
-	f.goRound(ctx, now, isHub)
+	f.probeStore(ctx, now, isHub)
 	needed := isHub || f.inPlace || (!heard && now.Sub(f.started) > firstAnswer)
 	message := beatMessage{From: f.self, Watches: f.inPlace && f.watching != nil && !f.blind(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt}
-	lost := append(f.judge(now, ranked, isHub), f.buried...)
-	f.buried = nil
+	lost := append(f.judge(now, ranked, isHub), f.replaced...)
+	f.replaced = nil
 	home := f.home.Name
 	message.LiveHash = f.live.hash
 	f.mu.Unlock()
@@ -77,7 +77,7 @@
 	f.setWatching(ctx, needed)
 	for _, h := range others {
 		f.group.Go(func() error {
-			f.beat(ctx, h.Fellow, message.toHub(h.Name == home))
+			f.beat(ctx, h.Node, message.toHub(h.Name == home))
 			return nil
 		})
 	}
@@ -85,15 +85,15 @@
 
 // drop tells of nodes that are gone. A restart of all replaces every incarnation at once,
 // which is one line of the log and not hundreds.
-func (f *Fleet) drop(lost []catkinspindle.Fellow) {
+func (f *Fleet) drop(lost []catkinspindle.Node) {
 	for i, n := range lost {
 		if i < maxLostLines {
-			f.log.Warn("node is gone", events.FellowLost.Attr(), "node", n.Name, "incarnation", n.Incarnation)
+			f.log.Warn("node is gone", events.NodeLost.Attr(), "node", n.Name, "incarnation", n.Incarnation)
 		}
 		f.onDeath(n)
 	}
 	if more := len(lost) - maxLostLines; more > 0 {
-		f.log.Warn("more nodes are gone", events.FellowLost.Attr(), "count", more)
+		f.log.Warn("more nodes are gone", events.NodeLost.Attr(), "count", more)
 	}
 }
 
@@ -118,10 +118,10 @@
 	}
 }
 
-// goRound has this node look for the store when its turn comes while all hubs have lost
+// probeStore has this node look for the store when its turn comes while all hubs have lost
 // it. A few nodes look at a time, so that an outage of the store costs the same number
 // of calls whatever the number of nodes.
-func (f *Fleet) goRound(ctx context.Context, now time.Time, isHub bool) {
+func (f *Fleet) probeStore(ctx context.Context, now time.Time, isHub bool) {
 	if f.blindSince.IsZero() || isHub || (f.inPlace && f.watching != nil && f.blind()) {
 		f.inPlace = false
 	}
@@ -175,8 +175,8 @@
 }
 
 // hubs returns the hubs in their order, without those that do not answer.
-func (f *Fleet) hubs(now time.Time) []*fellow {
-	list := make([]*fellow, 0, hubs)
+func (f *Fleet) hubs(now time.Time) []*member {
+	list := make([]*member, 0, hubs)
 	for _, n := range f.ranked() {
 		if n.Rank > 0 && now.After(n.shunned) && !n.Leaving && len(list) < hubs {
 			list = append(list, n)
@@ -187,19 +187,19 @@
 
 // judge chooses the coordinator and, on a hub, who is alive. It returns the
 // nodes that have just been found dead.
-func (f *Fleet) judge(now time.Time, ranked []*fellow, isHub bool) []catkinspindle.Fellow {
+func (f *Fleet) judge(now time.Time, ranked []*member, isHub bool) []catkinspindle.Node {
 	home := f.self
 	f.leads = len(ranked) > 0 && ranked[0].Name == f.self.Name
-	var answering []catkinspindle.Fellow
+	var answering []catkinspindle.Node
 	for _, h := range ranked {
 		if h.Name == f.self.Name || now.Sub(h.answered) < silence {
-			answering = append(answering, h.Fellow)
+			answering = append(answering, h.Node)
 		}
 	}
 	if len(answering) > 0 {
 		home = answering[0]
 	}
-	if !slices.EqualFunc(answering, f.answering, func(a, b catkinspindle.Fellow) bool {
+	if !slices.EqualFunc(answering, f.answering, func(a, b catkinspindle.Node) bool {
 		return a.Name == b.Name && a.Incarnation == b.Incarnation
 	}) {
 		f.group.Go(func() error {
@@ -223,15 +223,15 @@
 	if f.hearing.IsZero() {
 		f.presume(now)
 	}
-	var lost []catkinspindle.Fellow
-	live := make([]catkinspindle.Fellow, 0, len(f.known))
+	var lost []catkinspindle.Node
+	live := make([]catkinspindle.Node, 0, len(f.known))
 	for _, n := range f.known {
 		alive := n.Name == f.self.Name || now.Sub(n.heard) < silence || now.Sub(n.answered) < silence || now.Before(n.presumed)
 		if alive {
-			live = append(live, n.Fellow)
+			live = append(live, n.Node)
 		}
 		if !alive && !n.dead {
-			lost = append(lost, n.Fellow)
+			lost = append(lost, n.Node)
 		}
 		n.dead = !alive
 	}
@@ -251,7 +251,7 @@
 		if n.heard.IsZero() {
 			limit = firstContact
 		}
-		counted := len(f.live.nodes) == 0 || slices.ContainsFunc(f.live.nodes, func(l catkinspindle.Fellow) bool { return l.Name == n.Name })
+		counted := len(f.live.nodes) == 0 || slices.ContainsFunc(f.live.nodes, func(l catkinspindle.Node) bool { return l.Name == n.Name })
 		if counted {
 			n.presumed = now.Add(limit)
 		}
@@ -277,7 +277,7 @@
 
 // Suspect passes over a hub that does not answer, until it does or some time
 // has passed.
-func (f *Fleet) Suspect(n catkinspindle.Fellow) {
+func (f *Fleet) Suspect(n catkinspindle.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, ok := f.known[n.Name]
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -17,20 +17,20 @@
 
 // liveList is a list of live nodes, ordered by name, and its hash.
 type liveList struct {
-	nodes []catkinspindle.Fellow
+	nodes []catkinspindle.Node
 	hash  uint64
 }
 
 // liveChange leads from the list with the hash From to the next one; From is zero
 // when Now is the whole list.
 type liveChange struct {
-	From uint64                 `cbor:"1,keyasint,omitempty"`
-	Now  []catkinspindle.Fellow `cbor:"3,keyasint,omitempty"`
-	Gone []string               `cbor:"4,keyasint,omitempty"`
+	From uint64               `cbor:"1,keyasint,omitempty"`
+	Now  []catkinspindle.Node `cbor:"3,keyasint,omitempty"`
+	Gone []string             `cbor:"4,keyasint,omitempty"`
 }
 
-func newLiveList(nodes []catkinspindle.Fellow) liveList {
-	slices.SortFunc(nodes, func(a, b catkinspindle.Fellow) int { return cmp.Compare(a.Name, b.Name) })
+func newLiveList(nodes []catkinspindle.Node) liveList {
+	slices.SortFunc(nodes, func(a, b catkinspindle.Node) int { return cmp.Compare(a.Name, b.Name) })
 	h := xxhash.New()
 	for _, n := range nodes {
 		_, _ = fmt.Fprintln(h, n.Name, n.Incarnation, n.Rank, n.Leaving) // A hash takes every write.
@@ -41,7 +41,7 @@
 // change returns what leads from l to next.
 func (l liveList) change(next liveList) *liveChange {
 	c := &liveChange{From: l.hash}
-	before := make(map[string]catkinspindle.Fellow, len(l.nodes))
+	before := make(map[string]catkinspindle.Node, len(l.nodes))
 	for _, n := range l.nodes {
 		before[n.Name] = n
 	}
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -16,17 +16,17 @@
 	"github.com/catkinspindle/catkinspindle/view"
 )
 
-// parcel and news are the messages that carry a configuration between nodes.
-type parcel struct {
+// archive and news are the messages that carry a configuration between nodes.
+type archive struct {
 	Version  int64         `cbor:"1,keyasint"`
 	Deflated []byte        `cbor:"2,keyasint"`
 	Wait     time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 type news struct {
-	Routing  *parcel `cbor:"1,keyasint,omitempty"`
-	Replicas *parcel `cbor:"2,keyasint,omitempty"`
-	From     string  `cbor:"4,keyasint"`
+	Routing  *archive `cbor:"1,keyasint,omitempty"`
+	Replicas *archive `cbor:"2,keyasint,omitempty"`
+	From     string   `cbor:"4,keyasint"`
 }
 
 func deflated(t testing.TB, data []byte) []byte {
@@ -59,7 +59,7 @@
 	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
 	v := view.New(nil)
 	v.SetRouting(catkinspindle.Routing{Version: 3})
-	fleet.New(fellow(0, 1), port{net, "peer-n0"}, v, func(context.Context) {}, slog.New(slog.DiscardHandler))
+	fleet.New(member(0, 1), port{net, "peer-n0"}, v, func(context.Context) {}, slog.New(slog.DiscardHandler))
 	return net, v
 }
 
@@ -67,7 +67,7 @@
 // nothing; a good one that follows is adopted.
 func TestMalformedConfigurationIsIgnored(t *testing.T) {
 	good := encoded(t, catkinspindle.Routing{Version: 9})
-	tests := map[string]parcel{
+	tests := map[string]archive{
 		"not compressed":      {9, good, 0},
 		"cut off":             {9, deflated(t, good)[:4], 0},
 		"not a routing":       {9, deflated(t, encoded(t, "text")), 0},
@@ -86,7 +86,7 @@
 			if diff := cmp.Diff(int64(3), v.State().Version()); diff != "" {
 				t.Errorf("version (-want +got):\n%s", diff)
 			}
-			if err := sender.Call(context.Background(), "peer-n0", "news", news{&parcel{9, deflated(t, good), 0}, nil, "n1"}, nil); err != nil {
+			if err := sender.Call(context.Background(), "peer-n0", "news", news{&archive{9, deflated(t, good), 0}, nil, "n1"}, nil); err != nil {
 				t.Error(err)
 			}
 			if diff := cmp.Diff(int64(9), v.State().Version()); diff != "" {
@@ -108,7 +108,7 @@
 			net, v := listener()
 			v.SetReplicas(map[string]catkinspindle.Replica{"a": {ID: "a"}}, at(5), time.Time{})
 			sender := port{net, "peer-n1"}
-			if err := sender.Call(context.Background(), "peer-n0", "news", news{nil, &parcel{9, data, time.Second}, "n1"}, nil); err != nil {
+			if err := sender.Call(context.Background(), "peer-n0", "news", news{nil, &archive{9, data, time.Second}, "n1"}, nil); err != nil {
 				t.Errorf("the message is not answered: %v", err)
 			}
 			v.ChangeReplicas([]view.Change{{Replica: catkinspindle.Replica{ID: "b"}}}, at(6), time.Time{})
@@ -121,10 +121,10 @@
 
 // No message takes the process down or the configuration back.
 func FuzzMessages(f *testing.F) {
-	f.Add("news", encoded(f, news{&parcel{9, deflated(f, encoded(f, catkinspindle.Routing{Version: 9})), 0}, nil, "n1"}))
-	f.Add("news", encoded(f, news{&parcel{9, []byte("garbage"), 0}, nil, "n1"}))
-	f.Add("news", encoded(f, news{nil, &parcel{9, deflated(f, encoded(f, nil)), time.Second}, "n1"}))
-	f.Add("beat", encoded(f, map[int]any{1: fellow(1, 1), 2: 4, 3: 5}))
+	f.Add("news", encoded(f, news{&archive{9, deflated(f, encoded(f, catkinspindle.Routing{Version: 9})), 0}, nil, "n1"}))
+	f.Add("news", encoded(f, news{&archive{9, []byte("garbage"), 0}, nil, "n1"}))
+	f.Add("news", encoded(f, news{nil, &archive{9, deflated(f, encoded(f, nil)), time.Second}, "n1"}))
+	f.Add("beat", encoded(f, map[int]any{1: member(1, 1), 2: 4, 3: 5}))
 	f.Add("beat", []byte{0xff})
 	f.Add("routing", []byte(nil))
 	f.Fuzz(func(t *testing.T, kind string, data []byte) {
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -47,7 +47,7 @@
 type model struct {
 	t         *testing.T
 	network   *network
-	fellows   []catkinspindle.Fellow
+	members   []catkinspindle.Node
 	nodes     []*node
 	published atomic.Int64
 	// stale has the store answer with the version before.
@@ -58,7 +58,7 @@
 }
 
 func (m *model) start(i int) {
-	n := &node{self: m.fellows[i], view: view.New(nil)}
+	n := &node{self: m.members[i], view: view.New(nil)}
 	watch := func(ctx context.Context) {
 		n.set(true)
 		defer n.set(false)
@@ -83,7 +83,7 @@
 		defer n.mu.Unlock()
 		return n.lost
 	}))
-	n.Learn(m.fellows)
+	n.Learn(m.members)
 	m.nodes[i] = n
 	if err := n.Start(context.Background()); err != nil {
 		m.t.Error(err)
@@ -111,7 +111,7 @@
 		m.stale.Store(!m.stale.Load())
 	case "restart":
 		m.stop(v.node)
-		m.fellows[v.node].Incarnation++
+		m.members[v.node].Incarnation++
 		m.start(v.node)
 	}
 	m.look()
@@ -162,7 +162,7 @@
 			newest:  map[*node]int64{},
 		}
 		for i := range modelNodes {
-			m.fellows = append(m.fellows, fellow(i, 1))
+			m.members = append(m.members, member(i, 1))
 		}
 		for i := range modelNodes {
 			m.start(i)
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -17,7 +17,7 @@
 
 // lacksRegistration reports whether the store does not list a node that has
 // registered itself. Only a node that watches the store can tell.
-func (f *Fleet) lacksRegistration(n catkinspindle.Fellow) bool {
+func (f *Fleet) lacksRegistration(n catkinspindle.Node) bool {
 	known, ok := f.known[n.Name]
 	if !ok || n.Rank == 0 || f.watching == nil || f.blind() || f.registered == nil {
 		return false
--- a/fleet/restored_model_test.go
+++ b/fleet/restored_model_test.go
@@ -229,7 +229,7 @@
 	network *network
 	store   *drilled
 	nodes   []*node
-	fellows []catkinspindle.Fellow
+	members []catkinspindle.Node
 	started []time.Time
 	// cutUntil is when each node has been without a cut for the time in which it hears
 	// of everything.
@@ -240,7 +240,7 @@
 }
 
 func (m *drillModel) start(i int) {
-	n := &node{self: m.fellows[i], view: view.New(nil, view.WithProbation(4*heartbeat))}
+	n := &node{self: m.members[i], view: view.New(nil, view.WithProbation(4*heartbeat))}
 	follow := func(ctx context.Context) {
 		var group errgroup.Group
 		f := watch.New(gate{m.store, n}, "replicas", time.Second, slog.New(slog.DiscardHandler), viewSink{n.view})
@@ -264,7 +264,7 @@
 		_ = group.Wait()
 	}
 	n.Fleet = fleet.New(n.self, port{m.network, n.self.PeerAddress}, n.view, follow, slog.New(slog.DiscardHandler))
-	n.Learn(m.fellows)
+	n.Learn(m.members)
 	m.nodes[i], m.started[i] = n, time.Now()
 	if err := n.Start(context.Background()); err != nil {
 		m.t.Error(err)
@@ -393,7 +393,7 @@
 		m.touch(v.node)
 	case "restart":
 		m.stop(v.node)
-		m.fellows[v.node].Incarnation++
+		m.members[v.node].Incarnation++
 		m.start(v.node)
 		m.touch(v.node)
 	}
@@ -461,7 +461,7 @@
 			m.store.write(r, false)
 		}
 		for i := range storeNodes {
-			m.fellows = append(m.fellows, fellow(i, 1))
+			m.members = append(m.members, member(i, 1))
 		}
 		for i := range storeNodes {
 			m.start(i)
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -130,12 +130,12 @@
 			again = map[string]int{}
 		)
 		net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, free: map[string]time.Time{}}
-		var all []catkinspindle.Fellow
+		var all []catkinspindle.Node
 		for i := range count {
-			all = append(all, fellow(i, 1))
+			all = append(all, member(i, 1))
 		}
 		var nodes []*node
-		store := make([]catkinspindle.Fellow, 0, count)
+		store := make([]catkinspindle.Node, 0, count)
 		for _, self := range all {
 			n := &node{self: self, view: view.New(nil)}
 			n.Fleet = fleet.New(self, port{net, self.PeerAddress}, n.view, func(ctx context.Context) {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -43,7 +43,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(answer.Status)
 	if _, err := x.w.Write(body); err != nil {
-		return true, x.fail(reasonGone, "the caller has gone")
+		return true, x.fail(reasonGone, "client disconnected")
 	}
 	return true, nil
 }
@@ -65,7 +65,7 @@
 		}
 		if err != nil {
 			e.Outcome = catkinspindle.OutcomeGivenUp
-			return false, x.fail(reasonGone, "the caller has gone")
+			return false, x.fail(reasonGone, "client disconnected")
 		}
 		passed += len(chunk)
 		n, err := rest.Read(begun[:cap(begun)])
@@ -157,7 +157,7 @@
 		}
 		if err != nil {
 			e.Outcome = catkinspindle.OutcomeGivenUp
-			return false, x.fail(reasonGone, "the caller has gone")
+			return false, x.fail(reasonGone, "client disconnected")
 		}
 		if event.ID != "" {
 			x.last = event.ID
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -92,9 +92,9 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.last = x.envelope.AfterEvent
-	defer x.stay()
+	defer x.releaseSecured()
 	for {
-		if f := x.over(ctx); f != nil {
+		if f := x.ended(ctx); f != nil {
 			return f
 		}
 		p, ok := x.takeSecured()
@@ -106,7 +106,7 @@
 			}
 			p = x.place(ctx, x.avoid)
 		}
-		if f := x.over(ctx); f != nil {
+		if f := x.ended(ctx); f != nil {
 			if !p.Refused() {
 				g.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
 			}
@@ -125,14 +125,14 @@
 	}
 }
 
-func (x *exchange) over(ctx context.Context) *catkinspindle.Failure {
+func (x *exchange) ended(ctx context.Context) *catkinspindle.Failure {
 	if ctx.Err() == nil {
 		return nil
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return x.fail(catkinspindle.ReasonDeadline, "the time is over")
+		return x.fail(catkinspindle.ReasonDeadline, "deadline exceeded")
 	}
-	return x.fail(reasonGone, "the caller has gone")
+	return x.fail(reasonGone, "client disconnected")
 }
 
 // reasonGone is logged for callers that have closed their connection.
@@ -155,7 +155,7 @@
 	if _, ok := x.usable(p.Replica); !ok {
 		// The coordinator knows a replica that this node has not heard of, or does not
 		// know yet that it leaves.
-		return false, x.pass(e)
+		return false, x.skipPlacement(e)
 	}
 	helpers, release, err := x.reserve(ctx, p)
 	if err != nil {
@@ -163,13 +163,13 @@
 	}
 	defer release()
 	// The replica may have begun to leave, or refused another request, meanwhile.
-	replica, probe, ok := x.enter(p.Replica)
+	replica, probe, ok := x.beginAttempt(p.Replica)
 	if !ok {
-		return false, x.pass(e)
+		return false, x.skipPlacement(e)
 	}
 	e.Outcome = catkinspindle.OutcomeFailed
 	sent, avoid := x.sent+1, append(slices.Clone(x.avoid), p.Replica)
-	attemptCtx, stall := newStall(ctx, x.stallLimit(p), func() bool { return x.secure(ctx, sent, avoid) }, x.stay)
+	attemptCtx, stall := newStall(ctx, x.stallLimit(p), func() bool { return x.secure(ctx, sent, avoid) }, x.releaseSecured)
 	defer stall.stop()
 	answer, err := x.send(attemptCtx, p, replica, helpers, probe, &e)
 	if err != nil {
@@ -187,7 +187,7 @@
 	return x.plain(ctx, p, answer, &e, began)
 }
 
-// send sends the request and heeds what the answer says of the replica.
+// send sends the request and notes what the answer says of the replica.
 func (x *exchange) send(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, helpers []catkinspindle.Helper, probe bool, e *catkinspindle.Ending) (*catkinspindle.Answer, error) {
 	answer, err := x.gateway.sender.Send(ctx, x.envelope, catkinspindle.Attempt{
 		Replica:    replica,
@@ -199,7 +199,7 @@
 		Helpers:    helpers,
 	}, x.route.Repeat == catkinspindle.RepeatNever)
 	if err == nil {
-		x.heed(replica, answer, e)
+		x.noteAnswer(replica, answer, e)
 	}
 	if probe {
 		x.gateway.cooldown.End(replica)
@@ -217,14 +217,14 @@
 		e.Culprit = culprit
 	}
 	x.logAttempt(p, "memory not reserved", err)
-	return x.next(ctx, e, culprit)
+	return x.tryNext(ctx, e, culprit)
 }
 
 // unanswered goes on after an attempt without an answer.
 func (x *exchange) unanswered(ctx context.Context, p catkinspindle.Placement, e *catkinspindle.Ending, err error) *catkinspindle.Failure {
 	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
 		e.Outcome = catkinspindle.OutcomeUnreachable
-		return x.next(ctx, e, p.Replica)
+		return x.tryNext(ctx, e, p.Replica)
 	}
 	x.sent++
 	x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
@@ -244,8 +244,8 @@
 	return x.retry(ctx, e, p.Replica)
 }
 
-// next moves on to another replica after one that got nothing.
-func (x *exchange) next(ctx context.Context, e *catkinspindle.Ending, replica string) *catkinspindle.Failure {
+// tryNext moves on to another replica after one that got nothing.
+func (x *exchange) tryNext(ctx context.Context, e *catkinspindle.Ending, replica string) *catkinspindle.Failure {
 	x.unsent++
 	x.avoid = append(x.avoid, replica)
 	if x.unsent >= maxUnsent {
@@ -260,7 +260,7 @@
 // retry returns nil when the request may go to another replica.
 func (x *exchange) retry(ctx context.Context, e *catkinspindle.Ending, replica string) *catkinspindle.Failure {
 	x.avoid = append(x.avoid, replica)
-	if f := x.over(ctx); f != nil {
+	if f := x.ended(ctx); f != nil {
 		e.Outcome = catkinspindle.OutcomeGivenUp
 		return f
 	}
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -55,9 +55,9 @@
 	return r, ok && r.Service == x.service && !r.Leaving
 }
 
-// enter is usable right before a request is sent. probe is true when the replica's time
+// beginAttempt is usable right before a request is sent. probe is true when the replica's time
 // without requests has just ended and this request is the first one.
-func (x *exchange) enter(id string) (replica catkinspindle.Replica, probe, ok bool) {
+func (x *exchange) beginAttempt(id string) (replica catkinspindle.Replica, probe, ok bool) {
 	replica, ok = x.usable(id)
 	if ok {
 		ok, probe = x.gateway.cooldown.Enter(time.Now(), replica)
@@ -65,8 +65,8 @@
 	return replica, probe, ok
 }
 
-// pass gives a placement back that this node cannot use, and asks for the next one.
-func (x *exchange) pass(e catkinspindle.Ending) *catkinspindle.Failure {
+// skipPlacement gives a placement back that this node cannot use, and asks for the next one.
+func (x *exchange) skipPlacement(e catkinspindle.Ending) *catkinspindle.Failure {
 	x.avoid = append(x.avoid, e.Replica)
 	if x.unknown++; x.unknown >= maxUnknown {
 		return x.fail(catkinspindle.ReasonNoBackend, "no replica is known to this node")
@@ -74,13 +74,13 @@
 	return nil
 }
 
-// heed notes what a replica's answer says beside the answer itself: that it leaves,
+// noteAnswer notes what a replica's answer says beside the answer itself: that it leaves,
 // or that it wants nothing for a time.
-func (x *exchange) heed(r catkinspindle.Replica, answer *catkinspindle.Answer, e *catkinspindle.Ending) {
+func (x *exchange) noteAnswer(r catkinspindle.Replica, answer *catkinspindle.Answer, e *catkinspindle.Ending) {
 	g := x.gateway
 	if answer.Cooldown > 0 {
 		g.cooldown.Begin(time.Now(), r, answer.Cooldown)
-		g.log.Info("replica wants no requests", events.ReplicaChanged.Attr(), "request", x.envelope.ID, "replica", r.ID, "cooldown", answer.Cooldown)
+		g.log.Info("replica asked for a cooldown", events.ReplicaChanged.Attr(), "request", x.envelope.ID, "replica", r.ID, "cooldown", answer.Cooldown)
 	}
 	if !answer.Leaving || answer.Status == http.StatusMisdirectedRequest {
 		// Another replica at the address speaks for itself only.
@@ -125,8 +125,8 @@
 	return p, true
 }
 
-// stay gives back a placement that secure has found and nobody needs.
-func (x *exchange) stay() {
+// releaseSecured gives back a placement that secure has found and nobody needs.
+func (x *exchange) releaseSecured() {
 	if p, ok := x.takeSecured(); ok {
 		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
 	}
@@ -148,7 +148,7 @@
 		return nil
 	case <-ctx.Done():
 		x.gateway.placer.End(catkinspindle.Ending{Job: p.Job, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
-		return x.over(ctx)
+		return x.ended(ctx)
 	}
 }
 
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -18,10 +18,10 @@
 type stall struct {
 	limit  time.Duration
 	cancel context.CancelCauseFunc
-	// move finds another replica and reports whether there is one; stay takes
+	// move finds another replica and reports whether there is one; release takes
 	// that back.
 	move func() bool
-	stay func()
+	release func()
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -29,9 +29,9 @@
 	stopped bool
 }
 
-func newStall(ctx context.Context, limit time.Duration, move func() bool, stay func()) (context.Context, *stall) {
+func newStall(ctx context.Context, limit time.Duration, move func() bool, release func()) (context.Context, *stall) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &stall{limit: limit, cancel: cancel, move: move, stay: stay}
+	s := &stall{limit: limit, cancel: cancel, move: move, release: release}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(limit, s.expire)
@@ -53,7 +53,7 @@
 		s.cancel(errStalled)
 		return
 	case found:
-		s.stay()
+		s.release()
 	}
 	if !s.stopped {
 		s.timer.Reset(min(s.limit, searchPause))
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -56,7 +56,7 @@
 	metrics  metrics.Registry
 	store    catkinspindle.ObjectStore
 
-	self        catkinspindle.Fellow
+	self        catkinspindle.Node
 	view        *view.View
 	planner     *placement.Planner
 	replicas    *replicas.Client
@@ -92,7 +92,7 @@
 		settings: s,
 		log:      log.With("vm", s.Name),
 		metrics:  metrics.NewRegistry(),
-		self: catkinspindle.Fellow{
+		self: catkinspindle.Node{
 			Name:           s.Name,
 			Incarnation:    time.Now().UnixNano(),
 			PeerAddress:    s.Peers,
@@ -171,7 +171,7 @@
 		fleet.WithCoordinatorChange(n.coordinatorChanged),
 		fleet.WithHubsChange(func() { n.coordinator.AnnounceDivided() }),
 		fleet.WithUnregistered(n.registrationLost),
-		fleet.WithDeath(func(f catkinspindle.Fellow) { n.coordinator.Bury(f) }))
+		fleet.WithDeath(func(f catkinspindle.Node) { n.coordinator.RemoveNode(f) }))
 	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.fleet.Suspect, n.log,
 		coordinator.WithDepartures(func(d catkinspindle.Departure) { n.view.Leave(d, false) }))
 	// A predecessor that is still ending may hold the address.
@@ -316,7 +316,7 @@
 	}
 }
 
-func (n *Node) coordinatorChanged(catkinspindle.Fellow) { n.coordinator.Announce() }
+func (n *Node) coordinatorChanged(catkinspindle.Node) { n.coordinator.Announce() }
 
 // Place implements gateway.Placer.
 func (n *Node) Place(ctx context.Context, j catkinspindle.Job) catkinspindle.Placement {
@@ -348,7 +348,7 @@
 	}
 }
 
-func (n *Node) live() []catkinspindle.Fellow {
+func (n *Node) live() []catkinspindle.Node {
 	if !n.isJoined() {
 		return nil
 	}
--- a/gatewaynode/restored_test.go
+++ b/gatewaynode/restored_test.go
@@ -24,7 +24,7 @@
 	nodes := map[string]int64{}
 	for _, name := range s.Store.Names(platform.NodesKind) {
 		spec, _ := s.Store.Get(platform.NodesKind, name)
-		var f catkinspindle.Fellow
+		var f catkinspindle.Node
 		if err := json.Unmarshal(spec, &f); err != nil {
 			t.Fatal(err)
 		}
@@ -137,7 +137,7 @@
 // makes none of its own.
 func TestStartBeforeSecretIsWrittenAgain(t *testing.T) {
 	s := start(t, 0)
-	s.Store.Put(platform.NodesKind, "other", catkinspindle.Fellow{Name: "other", Incarnation: 1, PeerAddress: "127.0.0.1:1"})
+	s.Store.Put(platform.NodesKind, "other", catkinspindle.Node{Name: "other", Incarnation: 1, PeerAddress: "127.0.0.1:1"})
 	const seed = "c2VlZC1vZi10aGUtZmxlZXQtc2VlZC1vZi10aGUtZmw="
 	_, isReady := startNode(t, s, "127.0.0.1:0")
 	time.Sleep(time.Second)
--- a/gatewaynode/stop_test.go
+++ b/gatewaynode/stop_test.go
@@ -101,7 +101,7 @@
 	for name, killed := range map[string]bool{"new": false, "known from before a kill": true} {
 		t.Run(name, func(t *testing.T) {
 			s := start(t, 1)
-			before := catkinspindle.Fellow{Name: "node", Incarnation: 1, PeerAddress: "127.0.0.1:1", CallersAddress: "127.0.0.1:1", DataCentre: "dc"}
+			before := catkinspindle.Node{Name: "node", Incarnation: 1, PeerAddress: "127.0.0.1:1", CallersAddress: "127.0.0.1:1", DataCentre: "dc"}
 			if killed {
 				s.Store.Put(platform.NodesKind, before.Name, before)
 			}
@@ -114,7 +114,7 @@
 			if diff := cmp.Diff(4, s.Store.Peeks()-peeks); diff != "" {
 				t.Errorf("cheap reads, of the secret, the nodes, the configuration and the replicas (-want +got):\n%s", diff)
 			}
-			var f catkinspindle.Fellow
+			var f catkinspindle.Node
 			spec, ok := s.Store.Get(platform.NodesKind, before.Name)
 			if !ok || json.Unmarshal(spec, &f) != nil || f.Incarnation <= before.Incarnation {
 				t.Errorf("registered as %s", spec)
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -179,7 +179,7 @@
 
 // Reset implements watch.Sink.
 func (s nodesSink) Reset(objects []catkinspindle.StoredObject, _ catkinspindle.Position, _ time.Time) {
-	list := make([]catkinspindle.Fellow, 0, len(objects))
+	list := make([]catkinspindle.Node, 0, len(objects))
 	for _, o := range objects {
 		if f, ok := s.decode(o); ok {
 			list = append(list, f)
@@ -201,7 +201,7 @@
 	}
 }
 
-func (s nodesSink) decode(o catkinspindle.StoredObject) (catkinspindle.Fellow, bool) {
+func (s nodesSink) decode(o catkinspindle.StoredObject) (catkinspindle.Node, bool) {
 	f, err := platform.DecodeNode(o)
 	if err != nil {
 		s.n.log.Warn("entry names no node", events.PeerMalformed.Attr(), "entry", o.Name, "error", err)
--- a/objects.go
+++ b/objects.go
@@ -43,8 +43,8 @@
 	Remove(ctx context.Context, kind, name string) error
 }
 
-// Fellow is a node of the system as the others see it.
-type Fellow struct {
+// Node is a node of the system as the others see it.
+type Node struct {
 	Name        string `json:"name" cbor:"1,keyasint"`
 	Incarnation int64  `json:"incarnation" cbor:"2,keyasint"`
 	// PeerAddress is where other nodes reach it.
