--- a/addresses/answerer.go
+++ b/addresses/answerer.go
@@ -41,7 +41,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(body) // A caller that has gone asks again.
+	_, _ = w.Write(body) // A client that disconnected asks again.
 }
 
 // spread returns the addresses of up to maxAddresses nodes, as many of each data centre
--- a/cooldown/table.go
+++ b/cooldown/table.go
@@ -1,5 +1,5 @@
 // Package cooldown keeps the replicas that have refused a request of this node and
-// named a time in which they want no more from it. When the time is over a single
+// named a time in which they take no more from it. When it has passed a single
 // request goes there first; the others follow once it has been taken.
 package cooldown
 
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -187,10 +187,10 @@
 	defer f.mu.Unlock()
 	f.learn(m.From)
 	if known, ok := f.known[m.From.Name]; ok && m.From.Name != f.self.Name && m.From.Incarnation == known.Incarnation {
-		known.heard = time.Now()
+		known.lastBeat = time.Now()
 		known.shunned = time.Time{}
 		if m.Watches {
-			known.watched = known.heard
+			known.watched = known.lastBeat
 		}
 	}
 	a := beatAnswer{From: f.self, ReplicasAt: state.ReplicasAt, ConfigVersion: state.Version(), Blind: f.watching == nil || f.blind()}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,8 +1,8 @@
 // Package fleet lets the nodes of the system find each other and share what
 // they know. Each node is registered in the platform's store. The few on the
-// strongest VMs that answer are hubs: they watch the store, hear the
+// strongest VMs that answer are hubs: they watch the store, get the
 // heartbeats of all others and pass on what has changed in their answers. The
-// first hub is the coordinator. A node that hears no hub watches the store
+// first hub is the coordinator. A node that reaches no hub watches the store
 // itself.
 package fleet
 
@@ -82,7 +82,7 @@
 	// it is one.
 	answering []catkinspindle.Node
 	// leads is true when this node is the first hub, and not merely the only
-	// one that it hears.
+	// one that it reaches.
 	leads   bool
 	started time.Time
 	// hearing is since when this node gets the heartbeats of all others.
@@ -116,8 +116,8 @@
 
 type member struct {
 	catkinspindle.Node
-	// heard is when it last sent a heartbeat to this node.
-	heard time.Time
+	// lastBeat is when it last sent a heartbeat to this node.
+	lastBeat time.Time
 	// missed counts heartbeats to it that failed in a row.
 	missed int
 	// shunned is until when it is no hub for this node.
@@ -242,7 +242,7 @@
 		f.learn(n)
 	}
 	for name, n := range f.known {
-		if _, ok := f.registered[name]; !ok && name != f.self.Name && time.Since(n.heard) > silence {
+		if _, ok := f.registered[name]; !ok && name != f.self.Name && time.Since(n.lastBeat) > silence {
 			delete(f.known, name)
 		}
 	}
@@ -291,7 +291,7 @@
 	}
 	if n.Incarnation > known.Incarnation {
 		f.replaced = append(f.replaced, known.Node)
-		*known = member{Node: n, heard: known.heard, presumed: time.Now().Add(silence)}
+		*known = member{Node: n, lastBeat: known.lastBeat, presumed: time.Now().Add(silence)}
 		return
 	}
 	leaving := known.Leaving || n.Leaving
@@ -321,7 +321,7 @@
 	defer f.mu.Unlock()
 	live := f.live.nodes
 	if len(live) == 0 {
-		// No coordinator has been heard yet: whoever is registered counts.
+		// No coordinator has answered yet: whoever is registered counts.
 		for _, n := range f.known {
 			live = append(live, n.Node)
 		}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -44,7 +44,7 @@
 	f.mu.Lock()
 	ranked := f.hubs(now)
 	isHub := false
-	heard, storeSeen := false, false
+	hubAnswers, storeSeen := false, false
 	informed := f.watching != nil && f.listed && !f.blind()
 	var others []member
 	for _, h := range ranked {
@@ -54,16 +54,16 @@
 		}
 		others = append(others, *h)
 		if now.Sub(h.answered) < silence {
-			heard = true
+			hubAnswers = true
 			storeSeen = storeSeen || !h.blind
 			informed = informed || !h.blind
 		}
 	}
 	storeSeen = storeSeen || (isHub && !f.blind())
-	f.setBlindSince(now, !storeSeen && (heard || isHub))
+	f.setBlindSince(now, !storeSeen && (hubAnswers || isHub))
 	upToDate := f.setInformedSince(now, informed)
 	f.probeStore(ctx, now, isHub)
-	needed := isHub || f.inPlace || (!heard && now.Sub(f.started) > firstAnswer)
+	needed := isHub || f.inPlace || (!hubAnswers && now.Sub(f.started) > firstAnswer)
 	message := beatMessage{From: f.self, Watches: f.inPlace && f.watching != nil && !f.blind(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt}
 	lost := append(f.judge(now, ranked, isHub), f.replaced...)
 	f.replaced = nil
@@ -226,7 +226,7 @@
 	var lost []catkinspindle.Node
 	live := make([]catkinspindle.Node, 0, len(f.known))
 	for _, n := range f.known {
-		alive := n.Name == f.self.Name || now.Sub(n.heard) < silence || now.Sub(n.answered) < silence || now.Before(n.presumed)
+		alive := n.Name == f.self.Name || now.Sub(n.lastBeat) < silence || now.Sub(n.answered) < silence || now.Before(n.presumed)
 		if alive {
 			live = append(live, n.Node)
 		}
@@ -248,7 +248,7 @@
 	f.hearing = now
 	for _, n := range f.known {
 		limit := silence
-		if n.heard.IsZero() {
+		if n.lastBeat.IsZero() {
 			limit = firstContact
 		}
 		counted := len(f.live.nodes) == 0 || slices.ContainsFunc(f.live.nodes, func(l catkinspindle.Node) bool { return l.Name == n.Name })
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -11,7 +11,7 @@
 )
 
 // maxPast is the number of earlier lists of live nodes that are kept: a new one
-// comes with a turn at most, and a node that has heard nothing for longer than
+// comes with a turn at most, and a node that has been told nothing for longer than
 // maxPast turns (4 s) is sent the whole list.
 const maxPast = 16
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -153,7 +153,7 @@
 		x.gateway.placer.End(e)
 	}()
 	if _, ok := x.usable(p.Replica); !ok {
-		// The coordinator knows a replica that this node has not heard of, or does not
+		// The coordinator knows a replica that is not on the list of this node, or does not
 		// know yet that it leaves.
 		return false, x.skipPlacement(e)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -296,6 +296,6 @@
 	text := string(f.Reason) + " (" + f.Verdict.String() + ")\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(s)
-	_, _ = io.WriteString(w, text) // A caller that has gone needs no answer.
+	_, _ = io.WriteString(w, text) // A client that disconnected needs no answer.
 	return s
 }
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -48,7 +48,7 @@
 }
 
 // usable returns a placed replica if requests may go to it now, by what this node
-// has heard of it.
+// knows of it.
 func (x *exchange) usable(id string) (catkinspindle.Replica, bool) {
 	x.replicas = x.gateway.view.State().Replicas
 	r, ok := x.replicas[id]
@@ -75,7 +75,7 @@
 }
 
 // noteAnswer notes what a replica's answer says beside the answer itself: that it leaves,
-// or that it wants nothing for a time.
+// or that it asked for a cooldown.
 func (x *exchange) noteAnswer(r catkinspindle.Replica, answer *catkinspindle.Answer, e *catkinspindle.Ending) {
 	g := x.gateway
 	if answer.Cooldown > 0 {
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -20,7 +20,7 @@
 	cancel context.CancelCauseFunc
 	// move finds another replica and reports whether there is one; release takes
 	// that back.
-	move func() bool
+	move    func() bool
 	release func()
 
 	mu      sync.Mutex
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -52,8 +52,8 @@
 	return errors.Join(errs...)
 }
 
-// unregister removes the node's registration; one that stays is taken for a dead
-// node by the others.
+// unregister removes the node's registration. While it stays, the others count the node
+// as a dead one.
 func (n *Node) unregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, unregisterTimeout)
 	defer cancel()
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -19,7 +19,7 @@
 	// milliseconds, so that a silent one is noticed and another one tried.
 	dialTimeout = 300 * time.Millisecond
 	// probeIdle, probeInterval and probeCount make up the keep-alive that
-	// notices a connection that has gone silent.
+	// notices a connection that no longer answers.
 	probeIdle     = time.Second
 	probeInterval = 700 * time.Millisecond
 	probeCount    = 3
--- a/view/restored.go
+++ b/view/restored.go
@@ -57,7 +57,7 @@
 }
 
 // Release uses the replicas whose probation has ended. The list must be up to date: a
-// node that was cut off has not heard that their entries were removed again.
+// node that was cut off does not know that their entries were removed again.
 func (v *View) Release(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
