--- a/position.go
+++ b/position.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 )
 
 // Position is a point in the history of the platform's store. A store that has been
@@ -21,5 +22,8 @@
 // After reports whether p is after q.
 func (p Position) After(q Position) bool { return p.Compare(q) > 0 }
 
-// String returns the form that logs use, such as "2/1734".
+// String returns era and revision, such as "2/1734".
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Revision) }
+
+// LogValue implements slog.LogValuer.
+func (p Position) LogValue() slog.Value { return slog.StringValue(p.String()) }
