Log which check refused a prompt and its limit

A refusal for overload had the same reason whether no replica could read the prompt, its first event was expected too late, its answer would not have ended in time or its readers had too little memory. No decision changes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -75,8 +75,11 @@
 	spent time.Duration
 	// expected is the placer's estimate of the time to the first event.
 	expected time.Duration
-	helping  int
-	delay    time.Duration
+	// limit is the latest first event that was accepted, check what refused the request.
+	limit   time.Duration
+	check   catkinspindle.Check
+	helping int
+	delay   time.Duration
 	// pause is the longest pause between events so far, since the last one.
 	pause   time.Duration
 	eventAt time.Time
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -134,6 +134,7 @@
 
 func (x *exchange) note(p catkinspindle.Placement) {
 	x.placedBy, x.expected, x.helping, x.delay = p.By, p.First, len(p.Helpers), p.Delay
+	x.limit, x.check = p.Limit, p.Check
 }
 
 // wait waits until the placed replicas have read what was placed before.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -22,14 +22,14 @@
 	x.measure(f, total)
 	attrs := []any{
 		events.RequestEnded.Attr(), "request", x.envelope.ID, "route", x.route.Name, "workspace", x.workspace,
-		"status", x.status, "total", total, "first", x.first, "expected-first", x.expected, "longest-pause", x.pause, "helpers", x.helping, "delay", x.delay, "placing", x.placing, "placed-by", x.placedBy, "waits", x.envelope.Timeout, "spent", x.spent, "attempts", x.sent, "replica", x.replica,
+		"status", x.status, "total", total, "first", x.first, "expected-first", x.expected, "first-limit", x.limit, "longest-pause", x.pause, "helpers", x.helping, "delay", x.delay, "placing", x.placing, "placed-by", x.placedBy, "waits", x.envelope.Timeout, "spent", x.spent, "attempts", x.sent, "replica", x.replica,
 		"prompt-tokens", x.envelope.PromptTokens, "version", x.version, "replicas-position", x.gateway.view.State().ReplicasAt,
 	}
 	if f == nil {
 		g.log.Info("request answered", attrs...)
 		return
 	}
-	attrs = append(attrs, "reason", string(f.Reason), "verdict", f.Verdict.String(), "retry-after", f.RetryAfter, "cause", f.Err.Error(), "cut", abort)
+	attrs = append(attrs, "reason", string(f.Reason), "verdict", f.Verdict.String(), "check", string(x.check), "retry-after", f.RetryAfter, "cause", f.Err.Error(), "cut", abort)
 	if x.envelope.ID == "" {
 		attrs = append(attrs, "host", r.Host, "target", r.RequestURI)
 	}
--- a/placement.go
+++ b/placement.go
@@ -70,6 +70,31 @@
 	By string `cbor:"10,keyasint,omitempty"`
 	// Reason says why the job was refused.
 	Reason Reason `cbor:"7,keyasint,omitempty"`
+	// Check is what a job failed that was refused for overload.
+	Check Check `cbor:"11,keyasint,omitempty"`
+	// Limit is the latest first event with which the job was accepted or would have been.
+	Limit time.Duration `cbor:"12,keyasint,omitempty"`
+}
+
+// Check is a condition that a job must meet to be placed.
+type Check string
+
+// The checks of a job.
+const (
+	// CheckReaders means that no set of replicas could read the prompt.
+	CheckReaders Check = "readers"
+	// CheckFirst means that the first event was expected after Placement.Limit.
+	CheckFirst Check = "first-event"
+	// CheckEnd means that the answer would not have ended before the deadline.
+	CheckEnd Check = "deadline"
+	// CheckMemory means that the readers had too little memory for the prompt.
+	CheckMemory Check = "memory"
+)
+
+// WithCheck returns p with the check that decided and its limit.
+func (p Placement) WithCheck(c Check, limit time.Duration) Placement {
+	p.Check, p.Limit = c, limit
+	return p
 }
 
 // Refused reports whether the job was not placed.
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -385,3 +385,38 @@
 		})
 	}
 }
+
+// A refusal for overload says which condition the job failed.
+func TestRefusalNamesItsCheck(t *testing.T) {
+	patient := long(0, 400_000)
+	patient.Left, patient.Aim = time.Minute, time.Minute
+	hurried := long(0, 20_000)
+	hurried.Left = 300 * time.Millisecond
+	late := long(0, 20_000)
+	late.Aim = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		before int
+		job    catkinspindle.Job
+		want   catkinspindle.Check
+	}{
+		"late":      {before: 6, job: late, want: catkinspindle.CheckFirst},
+		"unended":   {job: hurried, want: catkinspindle.CheckEnd},
+		"no place":  {before: 16, job: long(0, 1000), want: catkinspindle.CheckReaders},
+		"no memory": {job: patient, want: catkinspindle.CheckMemory},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := planner(1)
+			for i := range c.before {
+				before := long(i+1, 10_000)
+				before.Left, before.Aim = time.Minute, time.Minute
+				if got := p.Place(start, before); got.Refused() {
+					t.Fatalf("job %d is refused: %+v", i, got)
+				}
+			}
+			got := p.Place(start, c.job)
+			if diff := cmp.Diff(c.want, got.Check); diff != "" {
+				t.Errorf("%+v\n%s", got, diff)
+			}
+		})
+	}
+}
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -58,8 +58,11 @@
 	if best == nil {
 		best, expected = p.chooseLeast(now, usable, j, m, read)
 	}
-	if p.tooLate(j, expected) || !endsInTime(m, best, j, expected) {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected), expected)
+	if limit := p.shortLimit(j); expected > limit {
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected), expected).WithCheck(catkinspindle.CheckFirst, limit)
+	}
+	if !endsInTime(m, best, j, expected) {
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected), expected).WithCheck(catkinspindle.CheckEnd, j.Left)
 	}
 	o := &open{job: j, replica: best, placed: now, first: expected, part: read, helpers: p.leastAhead(now, usable, best, k-1)}
 	return p.commit(now, o, urgencyShort)
@@ -168,12 +171,12 @@
 	return j.Again || first+time.Duration(max(0, events-1))*passTime(m, r) <= j.Left
 }
 
-// tooLate reports whether a job that is expected to begin at first is refused.
-func (p *Planner) tooLate(j catkinspindle.Job, first time.Duration) bool {
+// shortLimit is the latest first event with which a short job is accepted.
+func (p *Planner) shortLimit(j catkinspindle.Job) time.Duration {
 	if j.Returned {
-		return first > min(j.Left, p.policy.ReturnShort)
+		return min(j.Left, p.policy.ReturnShort)
 	}
-	return first > j.Left || first > time.Duration(p.policy.LateFactor*float64(max(j.Aim, 0)))+p.policy.MinRetry
+	return min(j.Left, time.Duration(p.policy.LateFactor*float64(max(j.Aim, 0)))+p.policy.MinRetry)
 }
 
 // gang is a set of replicas that read one prompt together.
@@ -192,12 +195,13 @@
 func (p *Planner) placeLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
 	best, ok := p.bestGang(now, j, m, usable)
 	if !ok {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0)
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0).WithCheck(catkinspindle.CheckReaders, 0)
 	}
 	// One that is late even on idle replicas gains nothing by coming back.
 	idle := best.part + passTime(m, best.host)*3/2 + p.policy.IdleWait
-	if best.first > min(j.Left, max(p.longLimit(m, j), idle)) || !endsInTime(m, best.host, j, best.first) {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first), best.first)
+	limit := min(j.Left, max(p.longLimit(m, j), idle))
+	if check, ok := p.check(m, best, j, limit); !ok {
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first), best.first).WithCheck(check, limit)
 	}
 	o := &open{job: j, replica: best.host, helpers: best.helpers, placed: now, start: best.start.Add(-p.policy.Lead), first: best.first, part: best.part}
 	if best.part <= p.policy.JumpPart {
@@ -206,9 +210,23 @@
 		o.start = now
 	}
 	if !p.fits(m, best.host, j) && !p.spreadMemory(o, m) {
-		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first), best.first)
+		return refuse(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.first), best.first).WithCheck(catkinspindle.CheckMemory, limit)
+	}
+	placed := p.commit(now, o, urgencyLong)
+	placed.Limit = limit
+	return placed
+}
+
+// check returns the check that j fails on a gang.
+func (p *Planner) check(m catkinspindle.EngineModel, g gang, j catkinspindle.Job, limit time.Duration) (failed catkinspindle.Check, ok bool) {
+	switch {
+	case g.first > limit:
+		return catkinspindle.CheckFirst, false
+	case !endsInTime(m, g.host, j, g.first):
+		return catkinspindle.CheckEnd, false
+	default:
+		return "", true
 	}
-	return p.commit(now, o, urgencyLong)
 }
 
 // longLimit is the latest first event with which a long job is accepted. One
