--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -441,6 +441,32 @@
 	}
 }
 
+// Bursts of long prompts do not keep the largest of them from being answered.
+func TestLargestPromptsAreNotStarvedOnAnyDay(t *testing.T) {
+	withSmallBatches(t)
+	for _, factor := range []float64{1, 1.2, 1.5} {
+		checkDays(t, 3*loadReplicas, 3*factor, 16)
+	}
+	checkDays(t, 8*loadReplicas, 8*1.5, 8)
+}
+
+// The same at twice the rate.
+func TestLargestPromptsAreNotStarvedAtTwiceTheRate(t *testing.T) {
+	withSmallBatches(t)
+	checkDays(t, 3*loadReplicas, 3*2, 40)
+}
+
+// checkDays checks the sizes of long prompts on engines of ten places, each seed by itself.
+func checkDays(t *testing.T, replicas int, factor float64, seeds uint64) {
+	t.Helper()
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("replicas %d factor %.1f seed %d", replicas, factor, seed), func(t *testing.T) {
+			t.Parallel()
+			checkSizes(t, "long", ofKind(runOn(replicas, planner(replicas), seed, factor), "long"))
+		})
+	}
+}
+
 // checkSizes checks that the larger prompts of a kind are answered at least half
 // as often as the kind.
 func checkSizes(t *testing.T, name string, list []*caller) {
