--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -144,12 +144,16 @@
 func TestShortOverloadIsRefusedAtOnce(t *testing.T) {
 	p := planner(2)
 	for i := range 400 {
-		if got := p.Place(start, short(i)); got.Refused() {
+		got := p.Place(start, short(i))
+		if got.Refused() {
 			if got.RetryAfter <= 0 || got.RetryAfter > 10*time.Second {
 				t.Errorf("come back after %v", got.RetryAfter)
 			}
 			return
 		}
+		if latest := short(i).Aim + placement.DefaultPolicy().MinRetry; got.First > latest {
+			t.Fatalf("prompt %d is accepted to begin after %v, later than %v", i, got.First, latest)
+		}
 	}
 	t.Error("400 prompts at once were all accepted by 2 replicas")
 }
