Log the rate limits that replicas state

No log line showed whether a node had received the Server-Limit header. Nodes now decode it, keep the newest statement of each replica and log each change (event 4006). Nothing decides by the limits yet.

--- a/attempt.go
+++ b/attempt.go
@@ -67,6 +67,8 @@
 	// Cooldown is how long this node must send no requests to a replica that
 	// refused one; zero when not stated.
 	Cooldown time.Duration
+	// RateLimit is what the answer states about the replica's rate limit.
+	RateLimit RateLimit
 	// FaultyReplica identifies, by ID or address, the replica at fault when it is not
 	// the one that answered.
 	FaultyReplica string
--- a/events/event.go
+++ b/events/event.go
@@ -24,6 +24,7 @@
 	NodeLost          Event = 3004
 	ReplicaChanged    Event = 4004
 	ReplicaFailed     Event = 4005
+	RateLimited       Event = 4006
 	RequestEnded      Event = 5003
 	LinesDropped      Event = 1006
 	LibraryMessage    Event = 1007
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -202,6 +202,7 @@
 
 // send sends the request once and applies the replica's state that the answer reports.
 func (x *exchange) send(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, helpers []catkinspindle.Helper, probe bool, result *catkinspindle.AttemptResult) (*catkinspindle.Answer, error) {
+	sentAt := time.Now()
 	answer, err := x.gateway.sender.Send(ctx, x.envelope, catkinspindle.Attempt{
 		Replica:    replica,
 		Workspace:  x.workspace,
@@ -213,6 +214,7 @@
 	}, x.route.RetryMode == catkinspindle.RetryNever)
 	if err == nil {
 		x.applyReplicaState(replica, answer, result)
+		x.recordRateLimit(sentAt, replica, answer)
 	}
 	if probe {
 		x.gateway.cooldown.EndProbe(replica)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/cooldown"
+	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/retries"
 	"github.com/catkinspindle/catkinspindle/routes"
 	"github.com/catkinspindle/catkinspindle/view"
@@ -92,6 +93,7 @@
 	configExpected   func() bool
 	initialTimeouts  *initialTimeouts
 	cooldown         *cooldown.Table
+	rateLimits       *ratelimits.Table
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
 	refusing         atomic.Bool
@@ -112,6 +114,9 @@
 // it is not given.
 func WithMaxBodyBytes(n int64) Option { return func(g *Gateway) { g.maxBodyBytes = n } }
 
+// WithRateLimits sets the table of the replicas' rate limits.
+func WithRateLimits(t *ratelimits.Table) Option { return func(g *Gateway) { g.rateLimits = t } }
+
 // WithConfigExpected sets the function that reports whether the first configuration is
 // expected soon. While it returns true, requests wait for it, for a limited time, instead of
 // being refused.
@@ -120,7 +125,7 @@
 
 // New returns a Gateway.
 func New(v *view.View, p Placer, s Sender, m ReservationManager, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), cooldown: cooldown.New(), maxBodyBytes: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), maxBodyBytes: 64 << 20}
 	for _, opt := range opts {
 		opt(g)
 	}
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// recordRateLimit records what the answer to a request that was sent at sentAt states about the
+// rate limit of r. Only an answer with a seal can show that the limit has ended, because
+// others may not come from the replica.
+func (x *exchange) recordRateLimit(sentAt time.Time, r catkinspindle.Replica, answer *catkinspindle.Answer) {
+	g := x.gateway
+	l := answer.RateLimit
+	if l.Malformed != "" {
+		g.log.Warn("replica states a malformed rate limit; ignored", events.RateLimited.Attr(), "request", x.envelope.ID, "replica", r.ID, "value", l.Malformed)
+	}
+	if !l.Stated && !answer.Sealed {
+		return
+	}
+	if g.rateLimits.Observe(time.Now(), sentAt, r, l) {
+		g.log.Info("rate limit of a replica changed", events.RateLimited.Attr(), "request", x.envelope.ID, "replica", r.ID, "limited", l.Stated, "per-second", l.PerSecond, "source", "answer")
+	}
+}
+
 // placeFailover places the request on another replica when the current one stalls. sent is
 // the number of attempts including the current one, avoid lists the replicas tried so far.
 func (x *exchange) placeFailover(ctx context.Context, sent int, avoid []string) bool {
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -25,6 +25,7 @@
 	"github.com/catkinspindle/catkinspindle/peers"
 	"github.com/catkinspindle/catkinspindle/placement"
 	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/replicas"
 	"github.com/catkinspindle/catkinspindle/reservations"
 	"github.com/catkinspindle/catkinspindle/retries"
@@ -62,6 +63,7 @@
 	replicas    *replicas.Client
 	reserver    *reservations.Manager
 	retryBudget *retries.Budget
+	rateLimits  *ratelimits.Table
 	gateway     *gateway.Gateway
 	listeners   *listeners
 	transport   *peers.Transport
@@ -113,11 +115,12 @@
 	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics))
 	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving)), n.log)
 	n.retryBudget = retries.New(s.Retry, 1)
+	n.rateLimits = ratelimits.New()
 	n.view = view.New(n.viewChanged, view.WithProbation(probationHeartbeats*s.ReplicaHeartbeat))
 	n.gateway = gateway.New(n.view, n, n.replicas, n.reserver, n.retryBudget,
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithConfigExpected(func() bool { return !n.storeFailing.Load() }),
-		gateway.WithMetrics(n.metrics),
+		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits),
 		gateway.WithMaxBodyBytes(int64(bodyMemoryShare*float64(s.MemoryMB)*(1<<20))))
 	maxAge := addressLifetime
 	if s.MaxLifetime > 0 {
@@ -307,6 +310,7 @@
 		n.listeners.SetLimits(s.Table.Routing().Limits)
 	}
 	n.planner.SetReplicas(s.Replicas)
+	n.rateLimits.Prune(time.Now(), s.Replicas)
 	n.replicas.Retain(s.Replicas)
 }
 
