Apply rate limits of backend servers on the own interface

Engines now state one in their status (rate-limit), replicas of plain services in the header Catkinspindle-Rate-Limit; malformed values are logged and ignored.

An engine's home grants its memory and thus sees all starts: its ledger paces the grants and refuses the others at once (reason rate-limit, 429), unless other engines may still take the prompt. Segments of a prompt for several engines wait in the queue, because the permits of several engines are rarely free together. A call to a limited replica of a plain service needs a permit of the VM that owns its limit by rendezvous hashing. Both scale the limit with the share of the VMs that they agree with.

--- a/actions/actions.go
+++ b/actions/actions.go
@@ -24,6 +24,7 @@
 	claimer    catkinspindle.Claimer
 	timing     catkinspindle.Timing
 	limits     catkinspindle.Limits
+	permits    catkinspindle.RatePermits
 	started    time.Time
 	outcomes   *outcomes
 	group      *errgroup.Group
@@ -44,6 +45,19 @@
 	return func(a *Actions) { a.onStopping = f }
 }
 
+// WithRatePermits sets what permits calls to rate-limited replicas. Without it, no replica is
+// limited.
+func WithRatePermits(p catkinspindle.RatePermits) Option {
+	return func(a *Actions) { a.permits = p }
+}
+
+// unlimited permits all calls. It implements catkinspindle.RatePermits.
+type unlimited struct{}
+
+func (unlimited) Acquire(context.Context, catkinspindle.VM, time.Time) time.Duration { return 0 }
+
+func (unlimited) Observe(time.Time, catkinspindle.VM, catkinspindle.RateLimit) {}
+
 // New returns the actions of a node and registers their peer handler.
 func New(
 	snapshot func() *catkinspindle.Snapshot,
@@ -63,6 +77,7 @@
 		claimer:    claimer,
 		timing:     timing,
 		limits:     limits,
+		permits:    unlimited{},
 		started:    time.Now(),
 		outcomes:   newOutcomes(),
 		group:      &errgroup.Group{},
@@ -272,25 +287,37 @@
 }
 
 // callReplicas sends the call to up to Limits.Attempts replicas. After a failure it tries
-// the next one only if retryable returns true.
+// the next one only if retryable returns true. It passes over replicas whose rate limit is used
+// up.
 func (a *Actions) callReplicas(ctx context.Context, c catkinspindle.PlainCall, retryable func(*catkinspindle.Failure) bool) (catkinspindle.PlainReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	verdict := catkinspindle.NotRun
 	last := catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNoBackend, "service %q has no replica", c.Service).WithRetryAfter(time.Second)
 	tried := map[string]bool{}
-	for range a.limits.Attempts {
+	for attempts := 0; attempts < a.limits.Attempts; {
 		vm, ok := a.pickReplica(c, tried)
 		if !ok {
 			break
 		}
 		tried[vm.Name] = true
+		if wait := a.permits.Acquire(ctx, vm, c.Deadline); wait > 0 {
+			if attempts == 0 && (last.Reason != catkinspindle.ReasonRateLimit || wait < last.RetryAfter) {
+				last = catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonRateLimit, "rate limits of the replicas of service %q are used up", c.Service).WithRetryAfter(wait)
+			}
+			continue
+		}
+		attempts++
 		// After a pause of the process the deadline may have passed although the
 		// timer of ctx has not fired yet.
 		if !time.Now().Before(c.Deadline) {
 			return catkinspindle.PlainReply{}, catkinspindle.Fail(verdict, catkinspindle.ReasonDeadline, "deadline passed")
 		}
+		sentAt := time.Now()
 		reply, err := a.dialer.Plain(vm).Call(ctx, c)
+		if err == nil || reply.RateLimit.Stated {
+			a.permits.Observe(sentAt, vm, reply.RateLimit)
+		}
 		if err == nil {
 			return reply, nil
 		}
--- a/callers/failure.go
+++ b/callers/failure.go
@@ -40,6 +40,7 @@
 	catkinspindle.ReasonUnauthorized:   http.StatusUnauthorized,
 	catkinspindle.ReasonWorkspaceLimit: http.StatusTooManyRequests,
 	catkinspindle.ReasonOverload:       http.StatusTooManyRequests,
+	catkinspindle.ReasonRateLimit:      http.StatusTooManyRequests,
 	catkinspindle.ReasonNeverFits:      http.StatusUnprocessableEntity,
 	catkinspindle.ReasonDeadline:       http.StatusGatewayTimeout,
 	catkinspindle.ReasonNoProgress:     http.StatusGatewayTimeout,
--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,10 @@
 	"github.com/catkinspindle/catkinspindle/members"
 )
 
+// rateShareRetention is how long a dead member keeps its share of the backend servers' rate limits,
+// because it may be cut off and still serve callers.
+const rateShareRetention = time.Minute
+
 // Control is the service that holds the control state.
 type Control struct {
 	timing   catkinspindle.Timing
@@ -126,6 +130,7 @@
 	c.refreshSelf()
 	isolated := c.table.Isolated(c.timing.Lease * 4)
 	for _, h := range c.ledgers {
+		h.SetRateShare(c.table.LiveShare(rateShareRetention))
 		// A partitioned VM receives no lease renewals, although the streams may still run,
 		// so it expires no lease.
 		if !isolated {
@@ -253,6 +258,13 @@
 	return source, version
 }
 
+// RateShare returns the part of the backend servers' rate limits that this VM may grant: the
+// fraction of the VMs with which it agrees on the owners.
+func (c *Control) RateShare() (share float64) {
+	_ = c.do(func() { share = c.table.LiveShare(rateShareRetention) })
+	return share
+}
+
 // IsDead reports whether an incarnation is known to have timed out or to have been replaced.
 func (c *Control) IsDead(o catkinspindle.Origin) (dead bool) {
 	_ = c.do(func() { dead = c.table.IsDead(o) })
--- a/control/homes.go
+++ b/control/homes.go
@@ -68,6 +68,7 @@
 		}
 		if _, ok := c.ledgers[name]; !ok {
 			c.ledgers[name] = home.New(name, c.policy, c.timing.Lease)
+			c.ledgers[name].SetRateShare(c.table.LiveShare(rateShareRetention))
 		}
 		c.ledgers[name].SetWantedState(want[name])
 	}
--- a/engine.go
+++ b/engine.go
@@ -62,6 +62,8 @@
 	CachedPaths []string         `json:"cached-paths,omitempty"`
 	Load        EngineLoadReport `json:"load"`
 	Checks      FencingBehavior  `json:"fencing"`
+	// RateLimit is the rate of stream starts that the engine accepts from all VMs together.
+	RateLimit RateLimit `json:"rate-limit,omitzero"`
 }
 
 // FencingBehavior says whether an engine rejects orders that carry an outdated
--- a/engines/client_test.go
+++ b/engines/client_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/engines"
 	"github.com/catkinspindle/catkinspindle/wire"
@@ -62,3 +64,33 @@
 		})
 	}
 }
+
+// A malformed limit does not make the rest of the status unusable.
+func TestRateLimitOfEngine(t *testing.T) {
+	tests := map[string]struct {
+		status string
+		want   catkinspindle.RateLimit
+	}{
+		"none":         {`{"capacity":5}`, catkinspindle.RateLimit{}},
+		"stated":       {`{"capacity":5,"rate-limit":1.6}`, catkinspindle.RateLimit{Stated: true, PerSecond: 1.6}},
+		"negative":     {`{"capacity":5,"rate-limit":-1}`, catkinspindle.RateLimit{Malformed: `"-1"`}},
+		"not a number": {`{"capacity":5,"rate-limit":{"x":1}}`, catkinspindle.RateLimit{Malformed: `"{\"x\":1}"`}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, tt.status) // An error fails the request of the client.
+			}))
+			defer server.Close()
+			client := wire.NewClient(time.Second, wire.WithoutKeepAlive())
+			got, err := engines.New(strings.TrimPrefix(server.URL, "http://"), client, client).Status(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			want := catkinspindle.EngineStatus{Capacity: 5, RateLimit: tt.want}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/control"
 	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
 // The message kinds of an exchange.
@@ -38,6 +39,7 @@
 	pullConfig func(address string)
 	timing     catkinspindle.Timing
 	log        *slog.Logger
+	rateLimits *ratelimits.Table
 	group      *errgroup.Group
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -47,6 +49,7 @@
 type digest struct {
 	Heartbeats []catkinspindle.MemberHeartbeat `cbor:"1,keyasint"`
 	Marks      []catkinspindle.LeavingMark     `cbor:"2,keyasint,omitempty"`
+	RateLimits []catkinspindle.RateLimitReport `cbor:"3,keyasint,omitempty"`
 }
 
 // delta carries the table entries that the receiver lacks.
@@ -55,11 +58,18 @@
 	Marks   []catkinspindle.LeavingMark `cbor:"2,keyasint,omitempty"`
 	// Heartbeats are the newest heartbeats in the responder's table.
 	Heartbeats []catkinspindle.MemberHeartbeat `cbor:"3,keyasint,omitempty"`
+	RateLimits []catkinspindle.RateLimitReport `cbor:"4,keyasint,omitempty"`
 }
 
+// Option configures a Gossip.
+type Option func(*Gossip)
+
+// WithRateLimits sets the table of the backend servers' rate limits, which the VMs share.
+func WithRateLimits(t *ratelimits.Table) Option { return func(g *Gossip) { g.rateLimits = t } }
+
 // New returns the service and registers its message handlers with peers. pullConfig fetches
 // the configuration of a peer whose version is newer.
-func New(c *control.Control, peers catkinspindle.Peers, seeds []string, pullConfig func(address string), timing catkinspindle.Timing, log *slog.Logger) *Gossip {
+func New(c *control.Control, peers catkinspindle.Peers, seeds []string, pullConfig func(address string), timing catkinspindle.Timing, log *slog.Logger, opts ...Option) *Gossip {
 	g := &Gossip{
 		control:    c,
 		peers:      peers,
@@ -67,8 +77,12 @@
 		pullConfig: pullConfig,
 		timing:     timing,
 		log:        log,
+		rateLimits: ratelimits.New(),
 		group:      &errgroup.Group{},
 	}
+	for _, opt := range opts {
+		opt(g)
+	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	peers.Handle(kindGossip, g.handleDigest)
 	peers.Handle(kindPush, g.handlePush)
@@ -138,7 +152,7 @@
 func (g *Gossip) exchange(ctx context.Context, address string) error {
 	heartbeats, marks := g.control.Heartbeats()
 	var reply delta
-	if err := g.peers.Call(ctx, address, kindGossip, digest{Heartbeats: heartbeats, Marks: marks}, &reply); err != nil {
+	if err := g.peers.Call(ctx, address, kindGossip, digest{Heartbeats: heartbeats, Marks: marks, RateLimits: g.knownRateLimits()}, &reply); err != nil {
 		return err
 	}
 	missing := g.control.NewerThan(reply.Heartbeats)
@@ -170,14 +184,21 @@
 	}
 }
 
+// knownRateLimits returns all rate limits that this VM knows.
+func (g *Gossip) knownRateLimits() []catkinspindle.RateLimitReport {
+	list, _ := g.rateLimits.Since(time.Now(), 0, false)
+	return list
+}
+
 func (g *Gossip) handleDigest(_ context.Context, decode func(any) error) (any, error) {
 	var d digest
 	if err := decode(&d); err != nil {
 		return nil, err
 	}
 	g.control.Merge(nil, d.Marks)
+	g.rateLimits.Apply(time.Now(), d.RateLimits)
 	heartbeats, marks := g.control.Heartbeats()
-	return delta{Members: g.control.NewerThan(d.Heartbeats), Marks: marks, Heartbeats: heartbeats}, nil
+	return delta{Members: g.control.NewerThan(d.Heartbeats), Marks: marks, Heartbeats: heartbeats, RateLimits: g.knownRateLimits()}, nil
 }
 
 func (g *Gossip) handlePush(_ context.Context, decode func(any) error) (any, error) {
@@ -194,6 +215,7 @@
 func (g *Gossip) mergeDelta(received delta) {
 	wasSuperseded := g.control.Snapshot().Superseded
 	g.control.Merge(received.Members, received.Marks)
+	g.rateLimits.Apply(time.Now(), received.RateLimits)
 	if g.control.Snapshot().Superseded && !wasSuperseded {
 		g.log.Warn("node superseded: a newer incarnation of this VM is a member", events.NodeSuperseded.Attr())
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/pacing"
 )
 
 // Ledger is the ledger and the admission queue of one engine. It is not safe for
@@ -28,6 +29,10 @@
 	released        map[catkinspindle.StreamID]release
 	queue           []*waiter
 	workspaceTokens map[string]int
+	// pacer spaces the grants while the engine states a rate limit, of which rateShare is this
+	// home's part; turns spaces the callers that are refused because of it.
+	rateShare    float64
+	pacer, turns pacing.Pacer
 }
 
 // reservation is memory that the ledger counts as used by a stream.
@@ -76,9 +81,27 @@
 		held:            map[catkinspindle.StreamID]*reservation{},
 		released:        map[catkinspindle.StreamID]release{},
 		workspaceTokens: map[string]int{},
+		rateShare:       1,
 	}
 }
 
+// SetRateShare sets the part of the engine's rate limit that this home may grant, a fraction
+// above 0.
+func (h *Ledger) SetRateShare(share float64) { h.rateShare = share }
+
+// rateWait returns how long after now the engine's rate limit permits another start.
+func (h *Ledger) rateWait(now time.Time) time.Duration {
+	if !h.status.RateLimit.Stated {
+		return 0
+	}
+	return h.pacer.Wait(now, h.perSecond())
+}
+
+// perSecond returns the rate of grants under the engine's rate limit.
+func (h *Ledger) perSecond() float64 {
+	return h.status.RateLimit.WithMinimum().PerSecond * h.rateShare
+}
+
 // SetWantedState sets the state that the engine should serve. With the zero value no model
 // is assigned to the engine, and all waiting tickets are refused.
 func (h *Ledger) SetWantedState(want catkinspindle.EngineState) {
@@ -115,6 +138,9 @@
 	if !h.ready() {
 		return catkinspindle.Fail(notRun, catkinspindle.ReasonNoBackend, "engine %s is not ready", h.engine)
 	}
+	if wait := h.rateWait(time.Now()); wait > 0 && !t.AwaitRate {
+		return catkinspindle.Fail(notRun, catkinspindle.ReasonRateLimit, "rate limit of engine %s is used up", h.engine).WithRetryAfter(h.turn(wait, t.Deadline))
+	}
 	if t.MemoryTokens > h.status.Capacity {
 		return catkinspindle.Fail(notRun, catkinspindle.ReasonNeverFits, "engine %s has memory for %d tokens, request needs %d", h.engine, h.status.Capacity, t.MemoryTokens)
 	}
@@ -128,6 +154,18 @@
 	return nil
 }
 
+// turn returns after which time a refused caller should retry, when the rate limit is free again
+// after wait. Callers that can still be served before their deadline get one turn each.
+func (h *Ledger) turn(wait time.Duration, deadline time.Time) time.Duration {
+	now := time.Now()
+	next := now.Add(wait)
+	next = next.Add(h.turns.Wait(next, h.perSecond()))
+	if next.Before(deadline) {
+		h.turns.Take(next, h.perSecond())
+	}
+	return next.Sub(now)
+}
+
 // grantWaiting grants the waiting tickets that fit, in queue order.
 func (h *Ledger) grantWaiting() {
 	if len(h.queue) == 0 {
@@ -163,7 +201,7 @@
 }
 
 func (h *Ledger) fits(t catkinspindle.Ticket) bool {
-	if t.MemoryTokens > h.freeTokens() || len(h.held) >= h.status.MaxStreams {
+	if t.MemoryTokens > h.freeTokens() || len(h.held) >= h.status.MaxStreams || h.rateWait(time.Now()) > 0 {
 		return false
 	}
 	return !t.Long || h.policy.MaxLong == 0 || h.longStreams() < h.policy.MaxLong
@@ -193,6 +231,9 @@
 }
 
 func (h *Ledger) grant(w *waiter) {
+	if h.status.RateLimit.Stated {
+		h.pacer.Take(time.Now(), h.perSecond())
+	}
 	h.addReservation(w.ticket, w.key)
 	g := catkinspindle.Grant{}
 	if h.policy.EnginePriority {
--- a/home/observe.go
+++ b/home/observe.go
@@ -13,6 +13,13 @@
 	if h.rate == 0 {
 		h.rate = float64(st.PrefillRate) * initialPrefillShare
 	}
+	if st.RateLimit.Malformed != "" {
+		st.RateLimit = h.status.RateLimit // A malformed limit changes nothing.
+	}
+	if st.RateLimit.Stated && !h.status.RateLimit.Stated {
+		// What was started before, also by a previous home, is unknown.
+		h.pacer.StartAt(time.Now(), st.RateLimit.WithMinimum().PerSecond*h.rateShare)
+	}
 	h.statusKnown = true
 	h.status = st
 	h.markListed(st.Streams)
--- a/members/table.go
+++ b/members/table.go
@@ -134,7 +134,11 @@
 // Isolated reports whether fewer than half of the members whose heartbeats arrived within
 // horizon are alive, counting this VM but no leaving members. In that case a network
 // partition of this VM is more likely than the failure of all the others.
-func (t *Table) Isolated(horizon time.Duration) bool {
+func (t *Table) Isolated(horizon time.Duration) bool { return t.LiveShare(horizon) < 0.5 }
+
+// LiveShare returns the fraction of the members whose heartbeats arrived within horizon that are
+// alive, counting this VM but no leaving members.
+func (t *Table) LiveShare(horizon time.Duration) float64 {
 	known, live := 1, 1
 	for _, e := range t.entries {
 		if time.Since(e.lastHeartbeat) > horizon || e.member.Leaving {
@@ -145,5 +149,5 @@
 			live++
 		}
 	}
-	return live*2 < known
+	return float64(live) / float64(known)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,8 +23,10 @@
 	"github.com/catkinspindle/catkinspindle/limits"
 	"github.com/catkinspindle/catkinspindle/operators"
 	"github.com/catkinspindle/catkinspindle/peers"
+	"github.com/catkinspindle/catkinspindle/permits"
 	"github.com/catkinspindle/catkinspindle/platform"
 	"github.com/catkinspindle/catkinspindle/poll"
+	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/reconcile"
 	"github.com/catkinspindle/catkinspindle/router"
 	"github.com/catkinspindle/catkinspindle/settings"
@@ -136,8 +138,10 @@
 		n.log.Info("backend server is leaving", events.BackendLeaving.Attr(), "backend", backend)
 		controlState.MarkLeaving(backend)
 	}
+	rateLimits := ratelimits.New()
+	ratePermits := permits.New(controlState.Snapshot, controlState.RateShare, n.peers, rateLimits, cfg.Timing.CallTimeout, n.log)
 	actionService := actions.New(controlState.Snapshot, n.dialer, n.peers, claimer, cfg.Timing, cfg.Limits,
-		actions.WithDeadCheck(controlState.IsDead), actions.WithStoppingHandler(onLeaving))
+		actions.WithDeadCheck(controlState.IsDead), actions.WithStoppingHandler(onLeaving), actions.WithRatePermits(ratePermits))
 	promptRouter := router.New(controlState.Snapshot, reserver, n.dialer, cfg.Policy, cfg.Timing, cfg.Limits, n.log,
 		router.WithStoppingHandler(onLeaving), router.WithSeed(n.seed))
 
@@ -150,7 +154,7 @@
 		n.kernel.Register(serviceHomes, reserver, serviceControl),
 		n.kernel.Register(servicePoll, poll.New(controlState, n.dialer, cfg.Timing, n.log), serviceControl),
 		n.kernel.Register(serviceConfig, configuration, serviceControl),
-		n.kernel.Register(serviceGossip, gossip.New(controlState, n.peers, cfg.Seeds, configuration.Pull, cfg.Timing, n.log), serviceConfig),
+		n.kernel.Register(serviceGossip, gossip.New(controlState, n.peers, cfg.Seeds, configuration.Pull, cfg.Timing, n.log, gossip.WithRateLimits(rateLimits)), serviceConfig),
 		n.kernel.Register(serviceClaims, claimer, serviceControl),
 		n.kernel.Register(serviceActions, actionService, serviceClaims, serviceControl),
 		n.kernel.Register(serviceRouter, promptRouter, serviceHomes, servicePoll),
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/pacing"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
@@ -37,8 +38,8 @@
 	demands       map[objective]*demand
 	lastExpiry    time.Time
 	rateLimits    *ratelimits.Table
-	// rateTurns is when the next caller that is refused because of rate limits should retry.
-	rateTurns map[servicePool]time.Time
+	// rateTurns spaces the callers that are refused because of rate limits.
+	rateTurns map[servicePool]*pacing.Pacer
 }
 
 const (
@@ -108,7 +109,7 @@
 		jobs:          map[string]*activeJob{},
 		demands:       map[objective]*demand{},
 		rateLimits:    ratelimits.New(),
-		rateTurns:     map[servicePool]time.Time{},
+		rateTurns:     map[servicePool]*pacing.Pacer{},
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/placement/rate_limits.go
+++ b/placement/rate_limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/pacing"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
@@ -90,12 +91,15 @@
 		return refusal(j, catkinspindle.ReasonOverload, p.policy.NoReplicaRetry, 0).WithCheck(catkinspindle.CheckRateLimit, 0)
 	}
 	key := servicePool{j.Service, j.Pool}
-	if turn := p.rateTurns[key]; turn.After(next) {
-		next = turn
+	turns, ok := p.rateTurns[key]
+	if !ok {
+		turns = &pacing.Pacer{}
+		p.rateTurns[key] = turns
 	}
+	next = next.Add(turns.Wait(next, total))
 	wait := next.Sub(now)
 	if wait < j.TimeLeft {
-		p.rateTurns[key] = next.Add(time.Duration(float64(time.Second) / total))
+		turns.Take(next, total)
 	}
 	return refusal(j, catkinspindle.ReasonOverload, max(p.policy.MinRetry, wait), wait).WithCheck(catkinspindle.CheckRateLimit, 0)
 }
--- a/plainservices/client.go
+++ b/plainservices/client.go
@@ -16,6 +16,10 @@
 // IdempotencyKeyHeader carries the caller's idempotency key to the replica.
 const IdempotencyKeyHeader = "Catkinspindle-Key"
 
+// RateLimitHeader states the rate of calls, in calls per second, that the replica accepts from
+// all VMs together.
+const RateLimitHeader = "Catkinspindle-Rate-Limit"
+
 // maxReplyBytes limits the body of a reply in bytes, so that it fits into a message between
 // nodes.
 const maxReplyBytes = 512 << 10
@@ -51,8 +55,12 @@
 		return catkinspindle.PlainReply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	var limit catkinspindle.RateLimit
+	if v := resp.Header.Values(RateLimitHeader); len(v) > 0 {
+		limit = catkinspindle.ParseRateLimit(v[0])
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		return catkinspindle.PlainReply{}, wire.FailureFromResponse(resp)
+		return catkinspindle.PlainReply{RateLimit: limit}, wire.FailureFromResponse(resp)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err == nil && len(body) > maxReplyBytes {
@@ -61,5 +69,5 @@
 	if err != nil {
 		return catkinspindle.PlainReply{}, catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "reply: %w", err)
 	}
-	return catkinspindle.PlainReply{Status: resp.StatusCode, Body: body}, nil
+	return catkinspindle.PlainReply{Status: resp.StatusCode, Body: body, RateLimit: limit}, nil
 }
--- a/plainservices/client_test.go
+++ b/plainservices/client_test.go
@@ -111,3 +111,35 @@
 		t.Error(diff)
 	}
 }
+
+// Refusals state the limit too.
+func TestRateLimitOfReplica(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		value  string
+		want   catkinspindle.RateLimit
+	}{
+		"none":      {http.StatusOK, "", catkinspindle.RateLimit{}},
+		"stated":    {http.StatusOK, "1.6", catkinspindle.RateLimit{Stated: true, PerSecond: 1.6}},
+		"refused":   {http.StatusServiceUnavailable, "2", catkinspindle.RateLimit{Stated: true, PerSecond: 2}},
+		"malformed": {http.StatusOK, "-1", catkinspindle.RateLimit{Malformed: `"-1"`}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if tt.value != "" {
+					w.Header().Set(plainservices.RateLimitHeader, tt.value)
+				}
+				w.WriteHeader(tt.status)
+			}))
+			defer server.Close()
+			reply, err := call(plainservices.New(server.Listener.Addr().String(), wire.NewClient(time.Second, wire.WithoutKeepAlive())))
+			if (err == nil) != (tt.status == http.StatusOK) {
+				t.Errorf("error %v with status %d", err, tt.status)
+			}
+			if diff := cmp.Diff(tt.want, reply.RateLimit); diff != "" {
+				t.Errorf("rate limit (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/platform.go
+++ b/platform.go
@@ -83,6 +83,8 @@
 type PlainReply struct {
 	Status int    `cbor:"1,keyasint"`
 	Body   []byte `cbor:"2,keyasint"`
+	// RateLimit is the rate of calls that the replica accepts from all VMs together.
+	RateLimit RateLimit `cbor:"-"`
 }
 
 // PlainService is a client of one replica of a plain service.
--- a/poll/poller.go
+++ b/poll/poller.go
@@ -109,6 +109,9 @@
 		p.control.MarkUnreachable(vm.Name)
 		return err
 	}
+	if v := status.RateLimit.Malformed; v != "" {
+		p.log.Warn("engine states a malformed rate limit; ignored", events.RateLimited.Attr(), "engine", vm.Name, "value", v)
+	}
 	for _, id := range p.control.UpdateStatus(vm.Name, status) {
 		if err := engine.Cancel(ctx, id); err != nil {
 			return err
--- a/rate_limit.go
+++ b/rate_limit.go
@@ -1,6 +1,11 @@
 package catkinspindle
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // RateLimit is what an answer states about the rate limit of its replica: the highest rate of
 // requests that the replica accepts from all nodes together. The zero value states nothing.
@@ -12,6 +17,43 @@
 	Malformed string
 }
 
+// minRatePerSecond is the lowest rate at which a limited backend server gets requests. One that
+// got none could not state that its limit has ended.
+const minRatePerSecond = 1.0 / 30
+
+// WithMinimum returns a copy of l of at least one request in 30 s.
+func (l RateLimit) WithMinimum() RateLimit {
+	l.PerSecond = max(minRatePerSecond, l.PerSecond)
+	return l
+}
+
+// ParseRateLimit parses a decimal number of requests per second.
+func ParseRateLimit(s string) RateLimit {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) || strings.ContainsAny(s, "xX") {
+		return RateLimit{Malformed: strconv.Quote(s)}
+	}
+	return RateLimit{Stated: true, PerSecond: perSecond}
+}
+
+// String returns the limit as ParseRateLimit parses it; empty when none is stated.
+func (l RateLimit) String() string {
+	if !l.Stated {
+		return ""
+	}
+	return strconv.FormatFloat(l.PerSecond, 'f', -1, 64)
+}
+
+// MarshalJSON implements json.Marshaler.
+func (l RateLimit) MarshalJSON() ([]byte, error) { return []byte(l.String()), nil }
+
+// UnmarshalJSON implements json.Unmarshaler. It returns no error: a malformed limit does not
+// make the rest of a message unusable.
+func (l *RateLimit) UnmarshalJSON(data []byte) error {
+	*l = ParseRateLimit(string(data))
+	return nil
+}
+
 // RateLimitReport is the newest statement of a replica's incarnation about its rate limit, as
 // it is passed between nodes.
 type RateLimitReport struct {
--- a/ratelimits/table.go
+++ b/ratelimits/table.go
@@ -11,14 +11,9 @@
 	"github.com/catkinspindle/catkinspindle"
 )
 
-const (
-	// minPerSecond is the lowest rate at which a limited replica gets requests. A replica
-	// that got none could not state that its limit has ended.
-	minPerSecond = 1.0 / 30
-	// unlistedRetention is how long the limit of a replica that is not on the list of
-	// replicas is kept: it may be missing only from a stale list.
-	unlistedRetention = time.Minute
-)
+// unlistedRetention is how long the limit of a replica that is not on the list of replicas is
+// kept: it may be missing only from a stale list.
+const unlistedRetention = time.Minute
 
 // Table holds the newest statement of each replica about its rate limit. It is safe for
 // concurrent use.
@@ -154,7 +149,8 @@
 	return ids
 }
 
-// Limit returns the rate limit of r in requests per second. limited is false when r has none.
+// Limit returns the rate limit of r in requests per second, raised to the minimum rate. limited is
+// false when r has none.
 func (t *Table) Limit(r catkinspindle.Replica) (perSecond float64, limited bool) {
 	if t.limitedCount.Load() == 0 {
 		return 0, false
@@ -165,7 +161,7 @@
 	if !ok || e.incarnation != r.Incarnation || !e.limited {
 		return 0, false
 	}
-	return max(minPerSecond, e.perSecond), true
+	return catkinspindle.RateLimit{PerSecond: e.perSecond}.WithMinimum().PerSecond, true
 }
 
 // Prune drops the statements of incarnations that the list of replicas has replaced, and of
--- a/router/answer.go
+++ b/router/answer.go
@@ -42,6 +42,9 @@
 	// lastRefusal is the most recent refusal by an overloaded engine.
 	lastRefusal *catkinspindle.Failure
 	refusals    int
+	// rateLimited counts the engines that have refused the request because of their rate limit
+	// since all engines were eligible.
+	rateLimited int
 	// noCandidateSince is when the current period without a candidate began, or zero. A
 	// candidate that only lacks memory ends the period.
 	noCandidateSince time.Time
@@ -83,6 +86,12 @@
 	switch {
 	case errors.Is(f, errHoldExpired), errors.Is(f, errEngineFull):
 		s.noCandidateSince = time.Time{}
+	case f.Reason == catkinspindle.ReasonRateLimit:
+		// Other engines may have no limit.
+		s.rateLimited++
+		if s.lastRefusal == nil || f.RetryAfter < s.lastRefusal.RetryAfter {
+			s.lastRefusal = f
+		}
 	case f.Reason == catkinspindle.ReasonOverload:
 		s.lastRefusal = f
 		s.refusals++
@@ -96,16 +105,21 @@
 }
 
 // noCandidateFailure handles a search without a candidate. It returns the failure that
-// ends the search if an engine refused the request or none was ready for too long, else
-// nil.
+// ends the search if an overloaded engine refused the request, the rate limits of all engines
+// are used up, or none was ready for too long, else nil.
 func (a *answer) noCandidateFailure(s *search, f *catkinspindle.Failure) *catkinspindle.Failure {
-	if s.lastRefusal != nil {
+	rateLimited := s.rateLimited
+	s.rateLimited = 0
+	if s.lastRefusal != nil && (s.lastRefusal.Reason != catkinspindle.ReasonRateLimit || rateLimited >= len(serving(a.router.snapshot(), a.req.Model))) {
 		return s.lastRefusal
 	}
 	if s.noCandidateSince.IsZero() {
 		s.noCandidateSince = time.Now()
 	}
 	if time.Since(s.noCandidateSince) > a.router.maxEngineWait(a.req, a.arrived) {
+		if s.lastRefusal != nil {
+			return s.lastRefusal
+		}
 		return f
 	}
 	return nil
--- a/router/plan.go
+++ b/router/plan.go
@@ -21,7 +21,7 @@
 	if len(fitting) == 0 {
 		return r.reserveSegments(a, list)
 	}
-	seg, err := r.reserve(a.ctx, a, fitting[0], a.req.Prompt, a.req.MaxTokens)
+	seg, err := r.reserve(a.ctx, a, fitting[0], a.req.Prompt, a.req.MaxTokens, false)
 	if err != nil {
 		a.failed[fitting[0].vm.Name] = true
 		return nil, withDefaultRetryAfter(err)
@@ -48,8 +48,9 @@
 	return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNoBackend, "model %q: %w", req.Model, errNoCandidate).WithRetryAfter(time.Second)
 }
 
-// reserve reserves memory for prompt and maxTokens output tokens on c.
-func (r *Router) reserve(ctx context.Context, a *answer, c candidate, prompt string, maxTokens int) (*segment, error) {
+// reserve reserves memory for prompt and maxTokens output tokens on c. With awaitRate it waits
+// while the rate limit of the engine is used up.
+func (r *Router) reserve(ctx context.Context, a *answer, c candidate, prompt string, maxTokens int, awaitRate bool) (*segment, error) {
 	tokens := catkinspindle.CountTokens(prompt)
 	t := catkinspindle.Ticket{
 		ID:            r.newID(),
@@ -61,6 +62,7 @@
 		Arrived:       a.arrived,
 		Deadline:      a.req.Deadline,
 		Long:          r.isLong(a.req),
+		AwaitRate:     awaitRate,
 	}
 	g, err := r.reserver.Reserve(ctx, t)
 	if err != nil {
@@ -91,7 +93,8 @@
 		if i == len(segments)-1 {
 			maxTokens = a.req.MaxTokens
 		}
-		seg, err := r.reserve(ctx, a, chosen[i], s, maxTokens)
+		// The permits of several engines are rarely free at the same time.
+		seg, err := r.reserve(ctx, a, chosen[i], s, maxTokens, true)
 		if err != nil {
 			for _, seg := range reserved {
 				r.reserver.Release(seg.ticket)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -93,6 +93,8 @@
 	cache         *prefixCache
 	reports       []loadReport
 	history       []Event
+	rateLimit     catkinspindle.RateLimit
+	starts        []time.Time
 }
 
 type loadReport struct {
@@ -125,6 +127,20 @@
 	return e
 }
 
+// SetRateLimit replaces the rate limit that the engine reports.
+func (e *Engine) SetRateLimit(l catkinspindle.RateLimit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimit = l
+}
+
+// Starts returns the times of all calls of Start, oldest first.
+func (e *Engine) Starts() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.starts)
+}
+
 // SetFaults replaces the injected faults.
 func (e *Engine) SetFaults(f Faults) {
 	e.mu.Lock()
@@ -178,6 +194,7 @@
 func (e *Engine) Start(ctx context.Context, req catkinspindle.StreamStart) (catkinspindle.Stream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.starts = append(e.starts, time.Now())
 	if err := e.awaitAvailable(ctx); err != nil {
 		return nil, err
 	}
@@ -266,6 +283,7 @@
 		Leaving:     e.faults.Draining,
 		State:       e.state,
 		Checks:      e.cfg.Fencing,
+		RateLimit:   e.rateLimit,
 	}
 	if e.loading {
 		st.State.Model = ""
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -43,6 +43,8 @@
 	faultsChanged *sync.Cond
 	faults        Faults
 	history       []Execution
+	rateLimit     catkinspindle.RateLimit
+	calls         []time.Time
 }
 
 // New returns a replica whose replies and errors contain name.
@@ -60,6 +62,20 @@
 	p.faultsChanged.Broadcast()
 }
 
+// SetRateLimit replaces the rate limit that the replica states in its replies.
+func (p *Service) SetRateLimit(l catkinspindle.RateLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rateLimit = l
+}
+
+// Calls returns the times of all calls, oldest first.
+func (p *Service) Calls() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.calls)
+}
+
 // History returns the executed calls, oldest first.
 func (p *Service) History() []Execution {
 	p.mu.Lock()
@@ -71,6 +87,7 @@
 func (p *Service) Call(_ context.Context, c catkinspindle.PlainCall) (catkinspindle.PlainReply, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.calls = append(p.calls, time.Now())
 	if p.faults.Draining {
 		return catkinspindle.PlainReply{}, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "replica %s is leaving", p.name)
 	}
@@ -88,7 +105,7 @@
 		return catkinspindle.PlainReply{}, catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "replica %s: connection lost", p.name)
 	}
 	body := fmt.Sprintf("%s did %s %s", p.name, c.Method, c.Body)
-	return catkinspindle.PlainReply{Status: http.StatusOK, Body: []byte(body)}, nil
+	return catkinspindle.PlainReply{Status: http.StatusOK, Body: []byte(body), RateLimit: p.rateLimit}, nil
 }
 
 // Handler serves POST /{service}/{method}, PUT /faults and GET /history.
@@ -124,6 +141,9 @@
 		standin.WriteFailure(w, err)
 		return
 	}
+	if reply.RateLimit.Stated {
+		w.Header().Set("Catkinspindle-Rate-Limit", reply.RateLimit.String())
+	}
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 }
--- a/ticket.go
+++ b/ticket.go
@@ -23,6 +23,9 @@
 	Prefilled bool `cbor:"11,keyasint,omitempty"`
 	// WaitLimit bounds the time in the queue; zero means until Deadline.
 	WaitLimit time.Duration `cbor:"12,keyasint,omitempty"`
+	// AwaitRate queues the ticket while the engine's rate limit is used up; otherwise it is
+	// refused.
+	AwaitRate bool `cbor:"13,keyasint,omitempty"`
 }
 
 // WithEngine returns a copy of t for another engine with another ID.
--- a/verdict.go
+++ b/verdict.go
@@ -54,6 +54,7 @@
 	ReasonUnauthorized     Reason = "unauthorized"
 	ReasonWorkspaceLimit   Reason = "workspace-limit"
 	ReasonOverload         Reason = "overload"
+	ReasonRateLimit        Reason = "rate-limit"
 	ReasonNeverFits        Reason = "never-fits"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNoBackend        Reason = "no-backend"
