Let replicas of the fault soak state rate limits

A replica of each service states a limit, changes it and ends it; the soak judges the sum over all nodes, restarted and paused ones included. The draws have their own sequence, so that the other faults of a seed stay as they were.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -137,7 +137,14 @@
 			runs[run.ID]++
 		}
 	}
+	nodes := map[string]string{}
+	for _, a := range c.answers {
+		nodes[a.id] = a.node
+	}
 	var errs []error
+	for _, r := range slices.Concat(c.fleet.site.Pool, c.fleet.site.App) {
+		errs = append(errs, r.CheckRateLimit(func(id string, _ time.Time) string { return nodes[id] }))
+	}
 	newestVersion := map[string]int{}
 	for _, a := range c.answers {
 		if err := a.check(runs[a.id]); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,9 @@
 	*fleet
 	callers *callers
 	rng     *rand.Rand
+	// limitRNG draws the rate limits. It has its own sequence, so that the other faults of a
+	// seed do not depend on it.
+	limitRNG *rand.Rand
 	group   errgroup.Group
 	routes  []map[string]any
 }
@@ -85,7 +88,7 @@
 	if t.Failed() {
 		return
 	}
-	s := &schedule{fleet: f, callers: &callers{fleet: f, inFlight: map[string]answer{}}, rng: rand.New(rand.NewPCG(seed, 0))}
+	s := &schedule{fleet: f, callers: &callers{fleet: f, inFlight: map[string]answer{}}, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1))}
 	s.addRoute()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -96,8 +99,12 @@
 			return nil
 		})
 	}
+	for _, r := range s.limitedReplicas() {
+		r.SetRateLimit(rateLimits[s.limitRNG.IntN(len(rateLimits))])
+	}
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
 		s.injectFault()
+		s.changeRateLimit()
 		time.Sleep(time.Duration(50+s.rng.IntN(300)) * time.Millisecond)
 	}
 	_ = s.group.Wait() // The faults report their errors to the test.
@@ -214,6 +221,28 @@
 	s.site.App[n%len(s.site.App)].SetFaults(injected)
 }
 
+// rateLimits are the limits in requests per second that replicas state.
+var rateLimits = []float64{0.5, 1.6, 2, 10}
+
+// limitedReplicas returns the replicas that state rate limits: one of each service.
+func (s *schedule) limitedReplicas() []*replica.Replica {
+	return []*replica.Replica{s.site.Pool[0], s.site.App[0]}
+}
+
+// changeRateLimit changes the limit of a replica, or ends it, in one of eight calls.
+func (s *schedule) changeRateLimit() {
+	if s.limitRNG.IntN(8) > 0 {
+		return
+	}
+	list := s.limitedReplicas()
+	r, n := list[s.limitRNG.IntN(len(list))], s.limitRNG.IntN(2*len(rateLimits))
+	if n == 0 {
+		r.SetRateLimit(-1)
+		return
+	}
+	r.SetRateLimit(rateLimits[n%len(rateLimits)])
+}
+
 // addRoute writes the next version of the configuration, which adds a route to those of the
 // previous version.
 func (s *schedule) addRoute() {
@@ -231,6 +260,9 @@
 	for _, r := range append(s.site.Pool, s.site.App...) {
 		r.SetFaults(replica.Faults{})
 	}
+	for _, r := range s.limitedReplicas() {
+		r.SetRateLimit(-1)
+	}
 	s.awaitReady()
 }
 
