--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/placement"
+	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
 // kind is a class of requests. worth and worthLate are the value of an answer in time and late.
@@ -588,3 +589,98 @@
 		})
 	}
 }
+
+// limitingReplicas is a policy whose replicas state rate limits in their answers from a time on.
+type limitingReplicas struct {
+	*placement.Planner
+	table     *ratelimits.Table
+	perSecond map[string]float64
+	from      time.Time
+	sent      map[string][]time.Time
+	hosts     map[string]string
+}
+
+func newLimitingReplicas(replicas, limited int, perSecond float64) *limitingReplicas {
+	l := &limitingReplicas{table: ratelimits.New(), perSecond: map[string]float64{}, from: start.Add(5 * time.Second), sent: map[string][]time.Time{}, hosts: map[string]string{}}
+	l.Planner = planner(replicas, placement.WithRateLimits(l.table))
+	for _, id := range replicaIDs(limited) {
+		l.perSecond[id] = perSecond
+	}
+	return l
+}
+
+func (l *limitingReplicas) Place(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
+	placed := l.Planner.Place(now, j)
+	if !placed.Refused() {
+		l.hosts[j.ID] = placed.Replica
+		l.sent[placed.Replica] = append(l.sent[placed.Replica], now.Add(placed.Delay))
+	}
+	return placed
+}
+
+func (l *limitingReplicas) ReportResult(now time.Time, e catkinspindle.AttemptResult) {
+	id := l.hosts[e.JobID]
+	if perSecond, limited := l.perSecond[id]; limited && now.After(l.from) {
+		l.table.Observe(now, now, catkinspindle.Replica{ID: id, Incarnation: 1}, catkinspindle.RateLimit{Stated: true, PerSecond: perSecond})
+	}
+	l.Planner.ReportResult(now, e)
+}
+
+// check checks that no limited replica got more than 1.5 times its limit and 5 requests in any
+// 4 s from 3 s after the limit is known.
+func (l *limitingReplicas) check(t *testing.T) {
+	t.Helper()
+	const window = 4 * time.Second
+	for id, perSecond := range l.perSecond {
+		sent := l.sent[id]
+		slices.SortFunc(sent, time.Time.Compare)
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(from) < window {
+					n++
+				}
+			}
+			if known := l.from.Add(6 * time.Second); from.After(known) && float64(n) > 1.5*window.Seconds()*perSecond+5 {
+				t.Fatalf("%s got %d requests in %s with a limit of %g/s", id, n, window, perSecond)
+			}
+		}
+	}
+}
+
+func TestRateLimitsStarveNoKindOrSize(t *testing.T) {
+	tests := map[string]struct {
+		limited   int
+		perSecond float64
+		// minAnswered is the fraction of callers that the capacity under the limits allows.
+		minAnswered float64
+	}{
+		"a third of the replicas": {7, 1.6, 0.75},
+		"all replicas":            {loadReplicas, 2, 0.6},
+		"all but one":             {loadReplicas - 1, 0.5, 0.2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var all []*caller
+			for seed := range uint64(6) {
+				l := newLimitingReplicas(loadReplicas, tt.limited, tt.perSecond)
+				all = append(all, run(l, seed, 1)...)
+				l.check(t)
+			}
+			o := summarize(all)
+			t.Logf("%+v", o)
+			if answered(o) < tt.minAnswered {
+				t.Errorf("%.2f of the callers answered, want at least %.2f", answered(o), tt.minAnswered)
+			}
+			if o.deadline > o.callers/100 {
+				t.Errorf("%d of %d callers timed out at their deadline", o.deadline, o.callers)
+			}
+			for _, k := range kinds {
+				if list := ofKind(all, k.name); answered(summarize(list)) < answered(o)/2 {
+					t.Errorf("%s: %.2f answered, %.2f of all", k.name, answered(summarize(list)), answered(o))
+				}
+				checkSizes(t, k.name, ofKind(all, k.name))
+			}
+		})
+	}
+}
