--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -212,7 +212,7 @@
 	coord, ok := c.coordinatorOf(j.Pool)
 	switch {
 	case !coordinated || (ok && coord.Name == c.nodeName):
-		p = c.planner.PlaceWith(now, j, c.authority(j.Pool))
+		p = c.placeLocally(now, j)
 		p.PlacedBy = c.nodeName
 		return p, false
 	case !ok:
@@ -378,7 +378,17 @@
 	if !c.planner.CanPlace(j.Service) {
 		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNotReady, "service %s has no configuration or no replicas on the coordinator yet", j.Service)
 	}
-	return c.planner.PlaceWith(time.Now(), j, c.authority(j.Pool)), nil
+	return c.placeLocally(time.Now(), j), nil
+}
+
+// placeLocally places a job with this node's planner. The authority is needed only for limited
+// replicas.
+func (c *Coordinator) placeLocally(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
+	var authority catkinspindle.RateAuthority
+	if c.planner.HasRateLimits(j.Service) {
+		authority = c.authority(j.Pool)
+	}
+	return c.planner.PlaceWith(now, j, authority)
 }
 
 func (c *Coordinator) handleReport(_ context.Context, decode func(any) error) (any, error) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,8 +50,8 @@
 	// limitRNG draws the rate limits. It has its own sequence, so that the other faults of a
 	// seed do not depend on it.
 	limitRNG *rand.Rand
-	group   errgroup.Group
-	routes  []map[string]any
+	group    errgroup.Group
+	routes   []map[string]any
 }
 
 func TestSoak(t *testing.T) {
