Admit the requests of a workspace at one VM

The rate limit of a workspace, a promise of the fleet, was enforced by each node with a share by the members that it sees and a burst of 4. The test now connects the nodes and gives isolated ones their share.

The member with the highest rendezvous score admits the requests of all nodes at the rate, scaled by the share of the members that are alive; when it does not answer, the second takes over, so that its death refuses no workspace.

--- a/fleet/rate_limits_test.go
+++ b/fleet/rate_limits_test.go
@@ -343,8 +343,9 @@
 		if len(waits) < 10 {
 			t.Fatalf("%d of 12 requests refused, want at least 10", len(waits))
 		}
-		if !slices.IsSorted(waits) || waits[len(waits)-1] > 5*time.Second {
-			t.Errorf("Retry-After of %v, want an ascending order up to the deadline", waits)
+		// Ten callers at 6 requests/s.
+		if first, last := waits[0], waits[len(waits)-1]; !slices.IsSorted(waits) || last-first < time.Second || last > 5*time.Second {
+			t.Errorf("Retry-After of %v, want an ascending order over at least 1s and up to the deadline", waits)
 		}
 	})
 }
--- a/limits/sum_test.go
+++ b/limits/sum_test.go
@@ -1,23 +1,81 @@
 package limits_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/limits"
 )
 
-// newLimits returns the limits of all nodes of a fleet. Each node sees the given number of
-// members.
-func newLimits(nodes, members int) (list []*limits.Limits) {
-	snap := &catkinspindle.Snapshot{Members: make([]catkinspindle.Member, members)}
-	for range nodes {
-		list = append(list, limits.New(func() *catkinspindle.Snapshot { return snap }, 1000))
+// network connects the nodes of a test. It implements catkinspindle.Peers for the node address.
+type network struct {
+	handlers map[string]catkinspindle.PeerHandler
+	address  string
+}
+
+var errUnreachable = errors.New("unreachable")
+
+func (n network) Handle(_ string, h catkinspindle.PeerHandler) { n.handlers[n.address] = h }
+
+func (n network) Call(ctx context.Context, address, _ string, req, resp any) error {
+	h, ok := n.handlers[address]
+	if !ok {
+		return errUnreachable
+	}
+	data, err := cbor.Marshal(req)
+	if err != nil {
+		return err
+	}
+	v, err := h(ctx, func(v any) error { return cbor.Unmarshal(data, v) })
+	if err != nil {
+		return err
+	}
+	if data, err = cbor.Marshal(v); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, resp)
+}
+
+// newLimits returns the limits of all nodes of a fleet. isolated nodes reach no others.
+func newLimits(nodes int, isolated bool) (list []*limits.Limits, handlers map[string]catkinspindle.PeerHandler) {
+	handlers = map[string]catkinspindle.PeerHandler{}
+	var members []catkinspindle.Member
+	for i := range nodes {
+		members = append(members, catkinspindle.Member{Origin: catkinspindle.Origin{VM: fmt.Sprint("vm-", i)}, PeerAddress: fmt.Sprint("vm-", i)})
 	}
-	return list
+	for i, self := range members {
+		snap := &catkinspindle.Snapshot{Self: self, Members: members}
+		share := 1.0
+		if isolated {
+			snap.Members, share = members[i:i+1], 1/float64(nodes)
+		}
+		list = append(list, limits.New(func() *catkinspindle.Snapshot { return snap }, 1000,
+			limits.WithPeers(network{handlers, self.PeerAddress}, func() float64 { return share }, time.Second, slog.New(slog.DiscardHandler))))
+	}
+	return list, handlers
+}
+
+// admitAll sends a request of a workspace with a limit to each node every 50 ms and returns the
+// number of admitted ones.
+func admitAll(all []*limits.Limits, perSecond float64, duration time.Duration) (admitted int) {
+	for begin := time.Now(); time.Since(begin) < duration; time.Sleep(50 * time.Millisecond) {
+		for _, l := range all {
+			if done, err := l.Admit(context.Background(), catkinspindle.WorkspaceSpec{Name: "w", RequestsPerSecond: perSecond}, 1); err == nil {
+				admitted++
+				done()
+			}
+		}
+	}
+	return admitted
 }
 
 func TestWorkspaceRateIsNotExceededByTheSumOfAllNodes(t *testing.T) {
@@ -27,20 +85,15 @@
 		// allowed is the rate with a tolerance of a half, and five requests.
 		allowed = perSecond*4*3/2 + 5
 	)
-	for _, fleet := range []struct{ nodes, members int }{{1, 1}, {6, 6}, {8, 1}, {300, 300}} {
-		t.Run(fmt.Sprintf("%d nodes that see %d members", fleet.nodes, fleet.members), func(t *testing.T) {
+	for _, fleet := range []struct {
+		nodes    int
+		isolated bool
+	}{{1, false}, {6, false}, {8, true}, {300, false}} {
+		t.Run(fmt.Sprintf("%d nodes, isolated: %t", fleet.nodes, fleet.isolated), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				all := newLimits(fleet.nodes, fleet.members)
-				admitted := 0
-				for begin := time.Now(); time.Since(begin) < duration; time.Sleep(5 * time.Millisecond) {
-					for _, l := range all {
-						if done, err := l.Admit(catkinspindle.WorkspaceSpec{Name: "w", RequestsPerSecond: perSecond}, 1); err == nil {
-							admitted++
-							done()
-						}
-					}
-				}
-				if admitted > allowed {
+				all, _ := newLimits(fleet.nodes, fleet.isolated)
+				admitted := admitAll(all, perSecond, duration)
+				if admitted > allowed || admitted < perSecond*4*3/4 {
 					t.Errorf("%d requests in %s at %d requests/s, allowed %d", admitted, duration, perSecond, allowed)
 				}
 			})
@@ -48,13 +101,29 @@
 	}
 }
 
+// Without its owner, the rate of a workspace is admitted by the next one.
+func TestWorkspaceRateOutlivesItsOwner(t *testing.T) {
+	const nodes = 5
+	for dead := range nodes {
+		synctest.Test(t, func(t *testing.T) {
+			all, handlers := newLimits(nodes, false)
+			delete(handlers, fmt.Sprint("vm-", dead))
+			alive := slices.Delete(slices.Clone(all), dead, dead+1)
+			if admitted := admitAll(alive, 10, 4*time.Second); admitted < 30 || admitted > 65 {
+				t.Errorf("vm-%d is dead: %d requests in 4s at 10 requests/s, want 30 to 65", dead, admitted)
+			}
+		})
+	}
+}
+
 func TestWorkspaceTokensAreNotExceededByTheSumOfAllNodes(t *testing.T) {
 	const maxTokens = 100_000
 	for _, nodes := range []int{1, 8, 300} {
 		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
 			inFlight := 0
-			for _, l := range newLimits(nodes, nodes) {
-				if _, err := l.Admit(catkinspindle.WorkspaceSpec{Name: "w", MaxTokens: maxTokens}, 60_000); err == nil {
+			all, _ := newLimits(nodes, false)
+			for _, l := range all {
+				if _, err := l.Admit(context.Background(), catkinspindle.WorkspaceSpec{Name: "w", MaxTokens: maxTokens}, 60_000); err == nil {
 					inFlight += 60_000
 				}
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,7 @@
 		CallersURL:  cfg.CallersURL,
 		DataCentre:  cfg.DataCentre,
 	}, cfg.Timing, cfg.Policy)
-	n.admission = limits.New(controlState.Snapshot, cfg.Limits.MaxRequests)
+	n.admission = limits.New(controlState.Snapshot, cfg.Limits.MaxRequests, limits.WithPeers(n.peers, controlState.RateShare, cfg.Timing.CallTimeout, n.log))
 	reserver := homes.New(controlState, n.peers, cfg.Timing)
 	configuration := config.New(controlState, n.platform, n.peers, cfg.Seeds, cfg.Timing, n.log)
 	claimer := claims.New(controlState.Snapshot, n.platform, n.peers, cfg.Timing.CallTimeout)
--- a/placement/rate_limits_test.go
+++ b/placement/rate_limits_test.go
@@ -81,19 +81,16 @@
 // replicas are served.
 func TestLimitedReplicasHelpWithLongPrompts(t *testing.T) {
 	p := limitedPlanner(4, 1, replicaIDs(3)...)
-	for i := range 3 {
-		p.Place(start, short(i))
-	}
-	got := p.Place(start.Add(2*time.Second), long(10, 600_000))
-	if got.Refused() || len(got.Helpers) == 0 {
-		t.Errorf("placement %+v, want one with helpers", got)
+	got := p.PlaceWith(start.Add(2*time.Second), long(10, 600_000), catkinspindle.RateAuthority{})
+	if got.Replica != "r03" || len(got.Helpers) == 0 {
+		t.Errorf("placement %+v, want one on r03 with helpers", got)
 	}
 }
 
 func TestNoPlacementOnLimitedReplicaWithoutAuthority(t *testing.T) {
 	p := limitedPlanner(3, 1000, "r00", "r01", "a0", "a1")
-	later := start.Add(10 * time.Second)
 	for i := range 60 {
+		later := start.Add(time.Duration(i) * 100 * time.Millisecond)
 		for _, j := range []catkinspindle.Job{short(3 * i), long(3*i+1, 30_000), plain(3*i + 2)} {
 			for _, got := range []catkinspindle.Placement{p.PlaceUncoordinated(later, j), p.PlaceWith(later, j, catkinspindle.RateAuthority{})} {
 				if got.Replica != "" && got.Replica != "r02" && got.Replica != "a2" {
