--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,12 +71,13 @@
 type updates struct {
 	OpenJobs []jobRecord                   `cbor:"1,keyasint,omitempty"`
 	Results  []catkinspindle.AttemptResult `cbor:"2,keyasint,omitempty"`
-	// RateLimits are the statements of the replicas limited, as of the time of the report.
-	RateLimits []catkinspindle.RateLimitReport `cbor:"3,keyasint,omitempty"`
-	limited    []string
+	// RateLimits are the newest statements of the replicas in changedLimits. They are added
+	// when the updates are sent.
+	RateLimits    []catkinspindle.RateLimitReport `cbor:"3,keyasint,omitempty"`
+	changedLimits []string
 }
 
-func (n updates) empty() bool { return len(n.OpenJobs)+len(n.Results)+len(n.limited) == 0 }
+func (n updates) empty() bool { return len(n.OpenJobs)+len(n.Results)+len(n.changedLimits) == 0 }
 
 var errNoCoordinator = errors.New("no reachable coordinator for the pool")
 
@@ -105,12 +105,6 @@
 	return func(c *Coordinator) { c.onDeparture = f }
 }
 
-// WithRateLimits sets the table of the replicas' rate limits, and the function that returns this
-// node's authority over those of a pool. Without it the node has full authority.
-func WithRateLimits(t *ratelimits.Table, authority func(catkinspindle.Pool) catkinspindle.RateAuthority) Option {
-	return func(c *Coordinator) { c.rateLimits, c.authority = t, authority }
-}
-
 // New returns a Coordinator for the node self. coordinatorOf returns the
 // coordinator node of a pool; its second result is false when none is reachable.
 // Jobs of a pool whose coordinator is this node, is not known or cannot be
@@ -254,19 +248,6 @@
 	}
 }
 
-// ReportRateLimit queues a replica's rate limit, which has changed, for its coordinator.
-func (c *Coordinator) ReportRateLimit(r catkinspindle.Replica) {
-	pool := c.planner.PoolOf(r)
-	c.mu.Lock()
-	c.queueUpdate(pool, func(n *updates) {
-		if !slices.Contains(n.limited, r.ID) {
-			n.limited = append(n.limited, r.ID)
-		}
-	})
-	c.mu.Unlock()
-	c.wakeReporter()
-}
-
 // reportLoop sends queued updates to the coordinators and retries failed reports
 // until ctx ends.
 func (c *Coordinator) reportLoop(ctx context.Context) {
@@ -311,7 +292,7 @@
 	if (ok && coord.Name == c.nodeName) || n.empty() {
 		return true
 	}
-	n.RateLimits = c.rateLimits.Reports(time.Now(), n.limited)
+	n.RateLimits = c.rateLimits.Reports(time.Now(), n.changedLimits)
 	err := errNoCoordinator
 	if ok {
 		err = c.send(ctx, coord, reportKind, n)
@@ -319,7 +300,7 @@
 	if err == nil {
 		return true
 	}
-	c.log.Warn("report to the coordinator failed", events.PeerUnreachable.Attr(), "node", coord.Name, "adopt", len(n.OpenJobs), "end", len(n.Results), "limits", len(n.limited), "error", err)
+	c.log.Warn("report to the coordinator failed", events.PeerUnreachable.Attr(), "node", coord.Name, "adopt", len(n.OpenJobs), "end", len(n.Results), "limits", len(n.changedLimits), "error", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.queueUpdate(pool, func(queued *updates) {
@@ -327,7 +308,7 @@
 			queued.OpenJobs = append(n.OpenJobs, queued.OpenJobs...)
 			queued.Results = append(n.Results, queued.Results...)
 		}
-		queued.limited = append(n.limited, queued.limited...)
+		queued.changedLimits = append(n.changedLimits, queued.changedLimits...)
 	})
 	return false
 }
@@ -381,16 +362,6 @@
 	return c.placeLocally(time.Now(), j), nil
 }
 
-// placeLocally places a job with this node's planner. The authority is needed only for limited
-// replicas.
-func (c *Coordinator) placeLocally(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
-	var authority catkinspindle.RateAuthority
-	if c.planner.HasRateLimits(j.Service) {
-		authority = c.authority(j.Pool)
-	}
-	return c.planner.PlaceWith(now, j, authority)
-}
-
 func (c *Coordinator) handleReport(_ context.Context, decode func(any) error) (any, error) {
 	var n updates
 	if err := decode(&n); err != nil {
--- /dev/null
+++ b/coordinator/rate_limits.go
@@ -0,0 +1,38 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/ratelimits"
+)
+
+// WithRateLimits sets the table of the replicas' rate limits, and the function that returns this
+// node's authority over those of a pool. Without it the node has full authority.
+func WithRateLimits(t *ratelimits.Table, authority func(catkinspindle.Pool) catkinspindle.RateAuthority) Option {
+	return func(c *Coordinator) { c.rateLimits, c.authority = t, authority }
+}
+
+// ReportRateLimit queues a replica's rate limit, which has changed, for its coordinator.
+func (c *Coordinator) ReportRateLimit(r catkinspindle.Replica) {
+	pool := c.planner.PoolOf(r)
+	c.mu.Lock()
+	c.queueUpdate(pool, func(n *updates) {
+		if !slices.Contains(n.changedLimits, r.ID) {
+			n.changedLimits = append(n.changedLimits, r.ID)
+		}
+	})
+	c.mu.Unlock()
+	c.wakeReporter()
+}
+
+// placeLocally places a job with this node's planner. The authority is needed only for limited
+// replicas.
+func (c *Coordinator) placeLocally(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
+	var authority catkinspindle.RateAuthority
+	if c.planner.HasRateLimits(j.Service) {
+		authority = c.authority(j.Pool)
+	}
+	return c.planner.PlaceWith(now, j, authority)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,10 +47,6 @@
 	probeGroupSize        = 6
 	maxSubstituteWatchers = 2
 
-	// shareRetention is how long a node that is not heard from keeps its share of the replicas'
-	// rate limits, because it may be cut off and still serve callers.
-	shareRetention = time.Minute
-
 	heartbeatKind   = "beat"
 	stateUpdateKind = "news"
 )
@@ -193,11 +189,6 @@
 	return func(l *Fleet) { l.onRegistrationLost = f }
 }
 
-// WithRateLimits sets the table of the replicas' rate limits, which the nodes share.
-func WithRateLimits(t *ratelimits.Table) Option {
-	return func(l *Fleet) { l.rateLimits = t }
-}
-
 // New returns a fleet that keeps v up to date and shares it with other nodes. watch watches
 // the store until its context ends and passes what it finds to v and SetRegistered.
 func New(self catkinspindle.Node, peers catkinspindle.Peers, v *view.View, watch func(context.Context), log *slog.Logger, opts ...Option) *Fleet {
@@ -393,52 +384,6 @@
 	return coordinator, ok
 }
 
-// RateAuthority returns this node's authority over the rate limits of the replicas in a pool. Each
-// node gives its share to the one coordinator that it follows, so that the shares of several
-// nodes that believe to be the coordinator add up to no more than the whole limit.
-func (f *Fleet) RateAuthority(p catkinspindle.Pool) catkinspindle.RateAuthority {
-	coordinator, ok := f.Coordinator(p)
-	if !ok || coordinator.Name != f.self.Name {
-		return catkinspindle.RateAuthority{}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	followers, members := 0, 0
-	for _, n := range f.members {
-		follows := now.Sub(n.followedAt) < livenessTimeout
-		if p.Divided() {
-			follows = now.Sub(n.lastHeartbeat) < livenessTimeout
-		}
-		if n.Name == f.self.Name || follows {
-			followers++
-		}
-		if n.Name == f.self.Name || follows || now.Sub(n.lastSeen()) < shareRetention {
-			members++
-		}
-	}
-	// Only the larger part of a divided fleet takes over the shares of the others.
-	if 2*followers <= len(f.members) {
-		members = len(f.members)
-	}
-	since := f.coordinatorSince
-	if p.Divided() {
-		since = f.hubsSince
-	}
-	return catkinspindle.RateAuthority{Share: float64(followers) / float64(members), Since: since}
-}
-
-// lastSeen returns when this node last heard from the member or expected to.
-func (n *member) lastSeen() time.Time {
-	seen := n.presumedAliveUntil
-	for _, t := range []time.Time{n.lastHeartbeat, n.lastResponse, n.followedAt} {
-		if t.After(seen) {
-			seen = t
-		}
-	}
-	return seen
-}
-
 // Self returns this node.
 func (f *Fleet) Self() catkinspindle.Node {
 	f.mu.Lock()
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -256,13 +256,6 @@
 	return departures, rateLimits
 }
 
-// recordRateLimits records the rate limits of replicas that another node has sent.
-func (f *Fleet) recordRateLimits(list []catkinspindle.RateLimitReport, source string) {
-	for _, l := range f.rateLimits.Apply(time.Now(), list) {
-		f.log.Info("rate limit of a replica changed", events.RateLimited.Attr(), "replica", l.ID, "limited", l.Limited, "per-second", l.PerSecond, "source", source)
-	}
-}
-
 // recordDepartures marks replicas as leaving whose departures another node has sent.
 func (f *Fleet) recordDepartures(list []catkinspindle.Departure, source string) {
 	for _, d := range list {
--- /dev/null
+++ b/fleet/rate_limits.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/ratelimits"
+)
+
+// shareRetention is how long a node that does not respond keeps its share of the replicas' rate
+// limits, because it may be cut off and still serve callers.
+const shareRetention = time.Minute
+
+// WithRateLimits sets the table of the replicas' rate limits, which the nodes share.
+func WithRateLimits(t *ratelimits.Table) Option {
+	return func(l *Fleet) { l.rateLimits = t }
+}
+
+// RateAuthority returns this node's authority over the rate limits of the replicas in a pool. Each
+// node gives its share to the one coordinator that it follows, so that the shares of several
+// nodes that believe that they are the coordinator add up to no more than the whole limit.
+func (f *Fleet) RateAuthority(p catkinspindle.Pool) catkinspindle.RateAuthority {
+	coordinator, ok := f.Coordinator(p)
+	if !ok || coordinator.Name != f.self.Name {
+		return catkinspindle.RateAuthority{}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	followers, members := 0, 0
+	for _, n := range f.members {
+		follows := now.Sub(n.followedAt) < livenessTimeout
+		if p.Divided() {
+			follows = now.Sub(n.lastHeartbeat) < livenessTimeout
+		}
+		if n.Name == f.self.Name || follows {
+			followers++
+		}
+		if n.Name == f.self.Name || follows || now.Sub(n.lastSeen()) < shareRetention {
+			members++
+		}
+	}
+	// Only the larger part of a divided fleet takes over the shares of the others.
+	if 2*followers <= len(f.members) {
+		members = len(f.members)
+	}
+	since := f.coordinatorSince
+	if p.Divided() {
+		since = f.hubsSince
+	}
+	return catkinspindle.RateAuthority{Share: float64(followers) / float64(members), Since: since}
+}
+
+// lastSeen returns when this node last heard from the member or expected to.
+func (n *member) lastSeen() time.Time {
+	seen := n.presumedAliveUntil
+	for _, t := range []time.Time{n.lastHeartbeat, n.lastResponse, n.followedAt} {
+		if t.After(seen) {
+			seen = t
+		}
+	}
+	return seen
+}
+
+// recordRateLimits records the rate limits of replicas that another node has sent.
+func (f *Fleet) recordRateLimits(list []catkinspindle.RateLimitReport, source string) {
+	for _, l := range f.rateLimits.Apply(time.Now(), list) {
+		f.log.Info("rate limit of a replica changed", events.RateLimited.Attr(), "replica", l.ID, "limited", l.Limited, "per-second", l.PerSecond, "source", source)
+	}
+}
--- a/gatewaynode/rate_limit_test.go
+++ b/gatewaynode/rate_limit_test.go
@@ -14,8 +14,7 @@
 	"github.com/catkinspindle/catkinspindle/platform/standin/site"
 )
 
-// load sends requests at a fixed rate to all nodes in turn, until stop is called, and counts
-// the answers by status.
+// load sends requests at a fixed rate to all nodes in turn.
 type load struct {
 	site   *site.Site
 	nodes  int
--- a/home/home.go
+++ b/home/home.go
@@ -85,23 +85,6 @@
 	}
 }
 
-// SetRateShare sets the part of the engine's rate limit that this home may grant, a fraction
-// above 0.
-func (h *Ledger) SetRateShare(share float64) { h.rateShare = share }
-
-// rateWait returns how long after now the engine's rate limit permits another start.
-func (h *Ledger) rateWait(now time.Time) time.Duration {
-	if !h.status.RateLimit.Stated {
-		return 0
-	}
-	return h.pacer.Wait(now, h.perSecond())
-}
-
-// perSecond returns the rate of grants under the engine's rate limit.
-func (h *Ledger) perSecond() float64 {
-	return h.status.RateLimit.WithMinimum().PerSecond * h.rateShare
-}
-
 // SetWantedState sets the state that the engine should serve. With the zero value no model
 // is assigned to the engine, and all waiting tickets are refused.
 func (h *Ledger) SetWantedState(want catkinspindle.EngineState) {
@@ -154,18 +137,6 @@
 	return nil
 }
 
-// turn returns after which time a refused caller should retry, when the rate limit is free again
-// after wait. Callers that can still be served before their deadline get one turn each.
-func (h *Ledger) turn(wait time.Duration, deadline time.Time) time.Duration {
-	now := time.Now()
-	next := now.Add(wait)
-	next = next.Add(h.turns.Wait(next, h.perSecond()))
-	if next.Before(deadline) {
-		h.turns.Take(next, h.perSecond())
-	}
-	return next.Sub(now)
-}
-
 // grantWaiting grants the waiting tickets that fit, in queue order.
 func (h *Ledger) grantWaiting() {
 	if len(h.queue) == 0 {
--- a/permits/client.go
+++ b/permits/client.go
@@ -34,11 +34,11 @@
 	log     *slog.Logger
 
 	mu     sync.Mutex
-	pacers map[string]*pacers
+	pacers map[string]*replicaPacers
 }
 
-// pacers are those of one replica: of the granted calls and of the refused callers' turns.
-type pacers struct{ granted, turns pacing.Pacer }
+// replicaPacers are those of one replica: of the granted calls and of the refused callers' turns.
+type replicaPacers struct{ granted, turns pacing.Pacer }
 
 // permitRequest asks for a permit to call a replica. Limit is what the sender knows of its limit.
 type permitRequest struct {
@@ -55,7 +55,7 @@
 // New returns a client and registers its handler with peers. timeout bounds a request to another
 // VM.
 func New(snapshot func() *catkinspindle.Snapshot, share func() float64, peers catkinspindle.Peers, limits *ratelimits.Table, timeout time.Duration, log *slog.Logger) *Client {
-	c := &Client{snapshot: snapshot, share: share, peers: peers, limits: limits, timeout: timeout, log: log, pacers: map[string]*pacers{}}
+	c := &Client{snapshot: snapshot, share: share, peers: peers, limits: limits, timeout: timeout, log: log, pacers: map[string]*replicaPacers{}}
 	peers.Handle(kindPermit, c.handlePermit)
 	return c
 }
@@ -140,7 +140,7 @@
 	p, ok := c.pacers[backend]
 	if !ok {
 		// What was sent before, also with permits of a previous owner, is unknown.
-		p = &pacers{}
+		p = &replicaPacers{}
 		p.granted.StartAt(now, perSecond)
 		c.pacers[backend] = p
 	}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -164,17 +164,6 @@
 	return p.PlaceWith(now, j, catkinspindle.FullRateAuthority())
 }
 
-// PlaceWith is Place with a limited authority over the replicas' rate limits.
-func (p *Planner) PlaceWith(now time.Time, j catkinspindle.Job, authority catkinspindle.RateAuthority) catkinspindle.Placement {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	usable, model, placed := p.candidates(now, j, authority)
-	if placed != nil {
-		return *placed
-	}
-	return p.placePrompt(now, j, *model, usable)
-}
-
 // candidates returns the candidate replicas for a prompt and the model of their engine, or
 // the final placement of a job that has no prompt, needs no engine or finds no replica.
 func (p *Planner) candidates(now time.Time, j catkinspindle.Job, authority catkinspindle.RateAuthority) (usable []*replica, model *catkinspindle.EngineModel, placed *catkinspindle.Placement) {
@@ -320,17 +309,6 @@
 	r.addSegment(segment{job: a, sendAt: a.sendAt, cost: cost})
 }
 
-// accept commits a job that this planner has placed. If its replica is rate-limited, the job uses
-// the replica's next permit.
-func (p *Planner) accept(now time.Time, a *activeJob, urgency int) catkinspindle.Placement {
-	placed := p.commit(now, a, urgency)
-	if a.replica.limited {
-		a.replica.pacer.Take(a.sendAt, a.replica.ratePerSecond)
-		placed.RatePermit = true
-	}
-	return placed
-}
-
 // commit adds a job to the load of its replicas.
 func (p *Planner) commit(now time.Time, a *activeJob, urgency int) catkinspindle.Placement {
 	p.jobs[a.job.ID] = a
--- a/placement/rate_limits.go
+++ b/placement/rate_limits.go
@@ -12,6 +12,17 @@
 // WithRateLimits sets the table of the replicas' rate limits. Without it no replica is limited.
 func WithRateLimits(t *ratelimits.Table) Option { return func(p *Planner) { p.rateLimits = t } }
 
+// PlaceWith is Place with a limited authority over the replicas' rate limits.
+func (p *Planner) PlaceWith(now time.Time, j catkinspindle.Job, authority catkinspindle.RateAuthority) catkinspindle.Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable, model, placed := p.candidates(now, j, authority)
+	if placed != nil {
+		return *placed
+	}
+	return p.placePrompt(now, j, *model, usable)
+}
+
 // HasRateLimits reports whether a replica of the service states a rate limit.
 func (p *Planner) HasRateLimits(service string) bool {
 	ids := p.rateLimits.Limited()
@@ -103,3 +114,14 @@
 	}
 	return refusal(j, catkinspindle.ReasonOverload, max(p.policy.MinRetry, wait), wait).WithCheck(catkinspindle.CheckRateLimit, 0)
 }
+
+// accept commits a job that this planner has placed. If its replica is rate-limited, the job uses
+// the replica's next permit.
+func (p *Planner) accept(now time.Time, a *activeJob, urgency int) catkinspindle.Placement {
+	placed := p.commit(now, a, urgency)
+	if a.replica.limited {
+		a.replica.pacer.Take(a.sendAt, a.replica.ratePerSecond)
+		placed.RatePermit = true
+	}
+	return placed
+}
