Report a limited replica to a coordinator that does not know the limit

A node passes over placements on a limited replica without a permit. If the coordinator has lost the limit (it was on no list for a moment, or the nodes that had received the statement are gone), all nodes that know it would pass over all its placements until a node without the knowledge gets an answer. The node now reports the limit with each placement that it passes over. The test failed before (no report). Found by reading, with a dropped entry between two look-ups of a permit, which would have ended the process.

--- a/coordinator/rate_limits.go
+++ b/coordinator/rate_limits.go
@@ -14,7 +14,7 @@
 	return func(c *Coordinator) { c.rateLimits, c.authority = t, authority }
 }
 
-// ReportRateLimit queues a replica's rate limit, which has changed, for its coordinator.
+// ReportRateLimit queues the rate limit of a replica for its coordinator.
 func (c *Coordinator) ReportRateLimit(r catkinspindle.Replica) {
 	pool := c.planner.PoolOf(r)
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,7 +94,7 @@
 	initialTimeouts *initialTimeouts
 	cooldown        *cooldown.Table
 	rateLimits      *ratelimits.Table
-	// onRateLimit is called with a replica whose answer has changed its rate limit.
+	// onRateLimit is called with a replica whose rate limit the placing node may not know.
 	onRateLimit      func(catkinspindle.Replica)
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
@@ -116,10 +116,10 @@
 // it is not given.
 func WithMaxBodyBytes(n int64) Option { return func(g *Gateway) { g.maxBodyBytes = n } }
 
-// WithRateLimits sets the table of the replicas' rate limits. onChange is called with a replica
-// whose answer has changed its limit.
-func WithRateLimits(t *ratelimits.Table, onChange func(catkinspindle.Replica)) Option {
-	return func(g *Gateway) { g.rateLimits, g.onRateLimit = t, onChange }
+// WithRateLimits sets the table of the replicas' rate limits. report is called with a replica whose
+// limit the placing node may not know.
+func WithRateLimits(t *ratelimits.Table, report func(catkinspindle.Replica)) Option {
+	return func(g *Gateway) { g.rateLimits, g.onRateLimit = t, report }
 }
 
 // WithConfigExpected sets the function that reports whether the first configuration is
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -66,8 +66,9 @@
 func (x *exchange) beginAttempt(p catkinspindle.Placement) (replica catkinspindle.Replica, probe, ok bool) {
 	replica, ok = x.usableReplica(p.Replica)
 	if _, limited := x.gateway.rateLimits.Limit(replica); limited && time.Now().After(p.PermitEnd) {
-		// The limit was stated after the placement, or the permit is too old: requests sent
-		// long after their time could pile up.
+		// The limit was stated after the placement, the placing node does not know it, or the
+		// permit is too old: requests sent long after their time could pile up.
+		x.gateway.onRateLimit(replica)
 		return replica, false, false
 	}
 	if ok {
--- a/gateway/rate_limits_test.go
+++ b/gateway/rate_limits_test.go
@@ -32,9 +32,9 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				limits := ratelimits.New()
+				limits, reports := ratelimits.New(), 0
 				w := &fakeCluster{steps: []scriptedAnswer{okAnswer, okAnswer}, delays: []time.Duration{tt.delay, 0}, permits: tt.permit, reserveTime: tt.late}
-				g := newGateway(w, w, 9, true, gateway.WithRateLimits(limits, func(catkinspindle.Replica) {}))
+				g := newGateway(w, w, 9, true, gateway.WithRateLimits(limits, func(catkinspindle.Replica) { reports++ }))
 				time.AfterFunc(tt.statedAfter, func() {
 					limits.Observe(time.Now(), time.Now(), catkinspindle.Replica{ID: "r1"}, catkinspindle.RateLimit{Stated: true, PerSecond: 1})
 				})
@@ -43,6 +43,10 @@
 				if diff := cmp.Diff([]string{tt.want}, w.sentTo()); diff != "" {
 					t.Errorf("replicas (-want +got):\n%s", diff)
 				}
+				// The node that placed the request may not know the limit.
+				if passedOver := tt.want != "r1"; (reports > 0) != passedOver {
+					t.Errorf("%d reports of the limit, passed over: %t", reports, passedOver)
+				}
 			})
 		})
 	}
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -120,7 +120,7 @@
 	n.gateway = gateway.New(n.view, n, n.replicas, n.reserver, n.retryBudget,
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithConfigExpected(func() bool { return !n.storeFailing.Load() }),
-		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits, n.rateLimitChanged),
+		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits, n.reportRateLimit),
 		gateway.WithMaxBodyBytes(int64(bodyMemoryShare*float64(s.MemoryMB)*(1<<20))))
 	maxAge := addressLifetime
 	if s.MaxLifetime > 0 {
@@ -324,9 +324,8 @@
 	}
 }
 
-// rateLimitChanged reports to the coordinator that a replica's answer to this node changed its
-// rate limit.
-func (n *Node) rateLimitChanged(r catkinspindle.Replica) {
+// reportRateLimit reports to the coordinator the rate limit that this node knows of a replica.
+func (n *Node) reportRateLimit(r catkinspindle.Replica) {
 	if n.isJoined() {
 		n.coordinator.ReportRateLimit(r)
 	}
--- a/permits/client.go
+++ b/permits/client.go
@@ -90,7 +90,11 @@
 	case owner.Origin == snap.Self.Origin:
 		return c.grant(vm.Name, time.Until(deadline))
 	}
-	req := permitRequest{Replica: vm.Name, Limit: c.limits.Reports(time.Now(), []string{vm.Name})[0], TimeLeft: time.Until(deadline)}
+	known := c.limits.Reports(time.Now(), []string{vm.Name})
+	if len(known) == 0 {
+		return 0 // The limit has been dropped meanwhile.
+	}
+	req := permitRequest{Replica: vm.Name, Limit: known[0], TimeLeft: time.Until(deadline)}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var reply permitReply
