Count a workspace's prompt tokens at one VM

Each node admitted one prompt over its share of the limit on prompt tokens in flight: 480,000 on 8 nodes and 18,000,000 on 300 with a limit of 100,000. Now the VM that admits the requests of a workspace also knows its tokens in flight by node, from the reports that ask for admission and those that follow the end of a request. A later report replaces an earlier one, so a lost one is mended by the next; the tokens of a dead node count until the deadline of its requests. At most 100,000 in flight on 1, 8 and 300 nodes, also while all are cut off from each other.

--- a/callers/chat.go
+++ b/callers/chat.go
@@ -106,7 +106,7 @@
 	if err := checkAdapter(model, req.request.Adapter); err != nil {
 		return nil, err
 	}
-	release, err := s.admission.Admit(ctx, req.workspace, req.request.PromptTokens())
+	release, err := s.admission.Admit(ctx, req.workspace, req.request.PromptTokens(), req.request.Deadline)
 	if err != nil {
 		return nil, err
 	}
--- a/callers/plain.go
+++ b/callers/plain.go
@@ -55,7 +55,7 @@
 // callPlain is the endpoint for calls to plain services.
 func (s *Server) callPlain(ctx context.Context, request any) (any, error) {
 	req := request.(plainRequest)
-	release, err := s.admission.Admit(ctx, req.workspace, 0)
+	release, err := s.admission.Admit(ctx, req.workspace, 0, req.action.Call.Deadline)
 	if err != nil {
 		return nil, err
 	}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -1,6 +1,5 @@
-// Package limits enforces the rate and concurrency limits of workspaces. One node owns the rate
-// of a workspace and admits the requests of all nodes; each node enforces an equal share of the
-// limit on prompt tokens in flight.
+// Package limits enforces the rate and concurrency limits of workspaces. One node owns the limits
+// of a workspace and admits the requests of all nodes.
 package limits
 
 import (
@@ -9,35 +8,49 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 )
 
-// Limits tracks the requests and prompt tokens in flight on this node, per workspace, and the
-// rates of the workspaces that this node owns.
+const (
+	kindUsage = "usage"
+	// maxOwners is the number of VMs that are tried as the owner of a workspace's limits: the
+	// second one takes over as soon as the first does not answer.
+	maxOwners = 2
+	// ownerRetry is when to retry after no owner has answered, which lasts until the failure of
+	// a VM has been detected.
+	ownerRetry = time.Second
+)
+
+// Limits tracks the requests in flight on this node and the usage of the workspaces that this
+// node owns.
 type Limits struct {
 	snapshot    func() *catkinspindle.Snapshot
 	maxRequests int
-	// peers is nil on a node that owns all workspaces. share is the part of each rate that this
+	// peers is nil on a node that owns all workspaces. share is the part of each limit that this
 	// node may admit.
 	peers   catkinspindle.Peers
 	share   func() float64
 	timeout time.Duration
 	log     *slog.Logger
+	group   errgroup.Group
 
-	mu             sync.Mutex
-	inFlight       int
+	mu       sync.Mutex
+	inFlight int
+	// lastSeq is the sequence number of the last message to an owner.
+	lastSeq uint64
+	// tokensInFlight are the prompt tokens in flight on this node by workspace.
 	tokensInFlight map[string]int
-	rates          map[string]*rate.Limiter
+	owned          map[string]*usage
 }
 
 // Option configures Limits.
 type Option func(*Limits)
 
-// WithPeers shares the rates of the workspaces with the other nodes. share returns the part of
-// each rate that this node may admit; timeout bounds a call to another node.
+// WithPeers shares the limits of the workspaces with the other nodes. share returns the part of
+// each limit that this node may admit; timeout bounds a call to another node.
 func WithPeers(p catkinspindle.Peers, share func() float64, timeout time.Duration, log *slog.Logger) Option {
 	return func(l *Limits) { l.peers, l.share, l.timeout, l.log = p, share, timeout, log }
 }
@@ -49,105 +62,105 @@
 		maxRequests:    maxRequests,
 		share:          func() float64 { return 1 },
 		tokensInFlight: map[string]int{},
-		rates:          map[string]*rate.Limiter{},
+		owned:          map[string]*usage{},
 	}
 	for _, opt := range opts {
 		opt(l)
 	}
 	if l.peers != nil {
-		l.peers.Handle(kindAdmit, l.handleAdmit)
+		l.peers.Handle(kindUsage, l.handleUsage)
 	}
 	return l
 }
 
-// minBurst is the minimum burst in requests, for workspaces with a low rate.
-const minBurst = 4
-
-const (
-	kindAdmit = "admit"
-	// maxOwners is the number of VMs that are tried as the owner of a workspace's rate: the
-	// second one takes over as soon as the first does not answer.
-	maxOwners = 2
-	// ownerRetry is when to retry after no owner has answered, which lasts until the failure of
-	// a VM has been detected.
-	ownerRetry = time.Second
-)
-
-// admitRequest asks the owner of a workspace's rate to admit a request.
-type admitRequest struct {
-	Workspace string  `cbor:"1,keyasint"`
-	PerSecond float64 `cbor:"2,keyasint"`
-}
-
-// admitReply admits the request if Wait is zero; otherwise Wait is when to retry.
-type admitReply struct {
-	Wait time.Duration `cbor:"1,keyasint,omitempty"`
-}
-
 // Admit admits a request with the given number of prompt tokens. The caller must call done
-// when the request ends. A refusal is a *catkinspindle.Failure with the verdict NotRun.
-func (l *Limits) Admit(ctx context.Context, w catkinspindle.WorkspaceSpec, tokens int) (done func(), err error) {
-	done, err = l.admitInFlight(w, tokens)
-	if err != nil || w.RequestsPerSecond <= 0 {
-		return done, err
+// when the request ends, at its deadline at the latest. A refusal is a *catkinspindle.Failure
+// with the verdict NotRun.
+func (l *Limits) Admit(ctx context.Context, w catkinspindle.WorkspaceSpec, tokens int, deadline time.Time) (done func(), err error) {
+	report, err := l.begin(w, tokens)
+	if err != nil {
+		return nil, err
+	}
+	done = sync.OnceFunc(func() { l.end(w, tokens) })
+	if w.RequestsPerSecond <= 0 && w.MaxTokens <= 0 {
+		return done, nil
 	}
-	if wait := l.acquire(ctx, w); wait > 0 {
+	report.TimeLeft = time.Until(deadline)
+	if wait := l.send(ctx, report); wait > 0 {
 		done()
-		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonWorkspaceLimit, "workspace %q exceeds its rate limit of %g requests per second", w.Name, w.RequestsPerSecond).WithRetryAfter(wait)
+		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonWorkspaceLimit, "workspace %q exceeds its limits of %g requests per second and %d prompt tokens in flight", w.Name, w.RequestsPerSecond, w.MaxTokens).WithRetryAfter(wait)
 	}
 	return done, nil
 }
 
-// admitInFlight admits a request within the limits on what is in flight on this node.
-func (l *Limits) admitInFlight(w catkinspindle.WorkspaceSpec, tokens int) (done func(), err error) {
-	nodes := max(1, len(l.snapshot().Members))
+// begin counts a request on this node and returns the report that asks the owner to admit it.
+func (l *Limits) begin(w catkinspindle.WorkspaceSpec, tokens int) (usageReport, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.inFlight >= l.maxRequests {
-		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "too many requests in flight on this VM: %d", l.inFlight).WithRetryAfter(time.Second)
-	}
-	inFlight := l.tokensInFlight[w.Name]
-	share := w.MaxTokens / nodes
-	// A prompt larger than the share is admitted if no other one is in flight.
-	if w.MaxTokens > 0 && inFlight > 0 && inFlight+tokens > share {
-		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonWorkspaceLimit, "workspace %q has %d prompt tokens in flight on this VM, its share is %d", w.Name, inFlight, share).WithRetryAfter(time.Second)
+		return usageReport{}, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "too many requests in flight on this VM: %d", l.inFlight).WithRetryAfter(time.Second)
 	}
+	r := l.report(w)
+	r.Admit, r.Tokens = true, tokens
 	l.inFlight++
 	l.tokensInFlight[w.Name] += tokens
-	return sync.OnceFunc(func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.inFlight--
-		if l.tokensInFlight[w.Name] -= tokens; l.tokensInFlight[w.Name] <= 0 {
-			delete(l.tokensInFlight, w.Name)
-		}
-	}), nil
+	return r, nil
+}
+
+// end removes a request that has ended and reports that to the owner of its workspace.
+func (l *Limits) end(w catkinspindle.WorkspaceSpec, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+	if l.tokensInFlight[w.Name] -= tokens; l.tokensInFlight[w.Name] <= 0 {
+		delete(l.tokensInFlight, w.Name)
+	}
+	if w.MaxTokens <= 0 {
+		return
+	}
+	r := l.report(w)
+	l.group.Go(func() error {
+		l.send(context.Background(), r)
+		return nil
+	})
+}
+
+// report returns a report of this node's usage of a workspace. The caller holds l.mu.
+func (l *Limits) report(w catkinspindle.WorkspaceSpec) usageReport {
+	l.lastSeq++
+	return usageReport{
+		Workspace: w.Name,
+		From:      l.snapshot().Self.Origin,
+		Seq:       l.lastSeq,
+		InFlight:  l.tokensInFlight[w.Name],
+		PerSecond: w.RequestsPerSecond,
+		MaxTokens: w.MaxTokens,
+	}
 }
 
-// acquire counts a request against the rate of a workspace, with its owner. It returns zero, or
-// when to retry if the rate is exceeded or no owner answers.
-func (l *Limits) acquire(ctx context.Context, w catkinspindle.WorkspaceSpec) time.Duration {
+// send passes a report to the owner of its workspace. It returns zero if the owner admits the
+// request, and otherwise when to retry.
+func (l *Limits) send(ctx context.Context, r usageReport) time.Duration {
 	if l.peers == nil {
-		return l.take(w.Name, w.RequestsPerSecond)
+		return l.apply(r)
 	}
-	self := l.snapshot().Self.Origin
-	for _, owner := range l.owners(w.Name) {
-		if owner.Origin == self {
-			return l.take(w.Name, w.RequestsPerSecond)
+	for _, owner := range l.owners(r.Workspace) {
+		if owner.Origin == r.From {
+			return l.apply(r)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, l.timeout)
-		var reply admitReply
-		err := l.peers.Call(callCtx, owner.PeerAddress, kindAdmit, admitRequest{w.Name, w.RequestsPerSecond}, &reply)
+		var reply usageReply
+		err := l.peers.Call(callCtx, owner.PeerAddress, kindUsage, r, &reply)
 		cancel()
 		if err == nil {
 			return reply.Wait
 		}
-		l.log.Warn("owner of a workspace's rate does not answer", events.PeerUnreachable.Attr(), "owner", owner.Origin.String(), "workspace", w.Name, "error", err)
+		l.log.Warn("owner of a workspace's limits does not answer", events.PeerUnreachable.Attr(), "owner", owner.Origin.String(), "workspace", r.Workspace, "error", err)
 	}
 	return ownerRetry
 }
 
-// owners returns the members that own the rate of a workspace, in order of preference: the
+// owners returns the members that own the limits of a workspace, in order of preference: the
 // maxOwners with the highest rendezvous scores that are not leaving.
 func (l *Limits) owners(workspace string) []catkinspindle.Member {
 	var (
@@ -173,42 +186,6 @@
 	return best[:found]
 }
 
-func (l *Limits) handleAdmit(_ context.Context, decode func(any) error) (any, error) {
-	var req admitRequest
-	if err := decode(&req); err != nil {
-		return nil, err
-	}
-	return admitReply{Wait: l.take(req.Workspace, req.PerSecond)}, nil
-}
-
-// take counts a request against the rate of a workspace that this node owns. It returns zero, or
-// when to retry if the rate is exceeded.
-func (l *Limits) take(workspace string, perSecond float64) time.Duration {
-	share := l.share()
-	limit := rate.Limit(perSecond * share)
-	burst := max(1, int(share*max(minBurst, perSecond)))
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	limiter, ok := l.rates[workspace]
-	if !ok {
-		limiter = rate.NewLimiter(limit, burst)
-		// What a previous owner admitted is unknown, so the first burst is a single request.
-		limiter.AllowN(now, burst-1)
-		l.rates[workspace] = limiter
-	}
-	if limiter.Limit() != limit || limiter.Burst() != burst {
-		limiter.SetLimitAt(now, limit)
-		limiter.SetBurstAt(now, burst)
-	}
-	r := limiter.ReserveN(now, 1)
-	wait := r.DelayFrom(now)
-	if wait > 0 {
-		r.CancelAt(now)
-	}
-	return wait
-}
-
 // InFlight returns the number of requests in flight on this node.
 func (l *Limits) InFlight() int {
 	l.mu.Lock()
--- a/limits/sum_test.go
+++ b/limits/sum_test.go
@@ -69,7 +69,7 @@
 func admitAll(all []*limits.Limits, perSecond float64, duration time.Duration) (admitted int) {
 	for begin := time.Now(); time.Since(begin) < duration; time.Sleep(50 * time.Millisecond) {
 		for _, l := range all {
-			if done, err := l.Admit(context.Background(), catkinspindle.WorkspaceSpec{Name: "w", RequestsPerSecond: perSecond}, 1); err == nil {
+			if done, err := l.Admit(context.Background(), catkinspindle.WorkspaceSpec{Name: "w", RequestsPerSecond: perSecond}, 1, time.Now().Add(time.Second)); err == nil {
 				admitted++
 				done()
 			}
@@ -118,18 +118,56 @@
 
 func TestWorkspaceTokensAreNotExceededByTheSumOfAllNodes(t *testing.T) {
 	const maxTokens = 100_000
-	for _, nodes := range []int{1, 8, 300} {
-		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
-			inFlight := 0
-			all, _ := newLimits(nodes, false)
-			for _, l := range all {
-				if _, err := l.Admit(context.Background(), catkinspindle.WorkspaceSpec{Name: "w", MaxTokens: maxTokens}, 60_000); err == nil {
-					inFlight += 60_000
+	for _, fleet := range []struct {
+		nodes    int
+		isolated bool
+	}{{1, false}, {8, false}, {8, true}, {300, false}} {
+		t.Run(fmt.Sprintf("%d nodes, isolated: %t", fleet.nodes, fleet.isolated), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all, _ := newLimits(fleet.nodes, fleet.isolated)
+				for _, tokens := range []int{60_000, 30_000, 10_000} {
+					inFlight := 0
+					var ends []func()
+					for range 3 {
+						for _, l := range all {
+							w := catkinspindle.WorkspaceSpec{Name: "w", MaxTokens: maxTokens}
+							if done, err := l.Admit(context.Background(), w, tokens, time.Now().Add(time.Minute)); err == nil {
+								inFlight += tokens
+								ends = append(ends, done)
+							}
+						}
+					}
+					if inFlight > maxTokens || (inFlight < tokens && !fleet.isolated) {
+						t.Errorf("%d prompt tokens in flight, the limit is %d", inFlight, maxTokens)
+					}
+					for _, end := range ends {
+						end()
+					}
+					synctest.Wait()
 				}
-			}
-			if inFlight > maxTokens {
-				t.Errorf("%d prompt tokens in flight, the limit is %d", inFlight, maxTokens)
-			}
+			})
 		})
 	}
 }
+
+// The tokens of a node that is gone count until the deadline of its requests.
+func TestWorkspaceTokensOfADeadNodeExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, _ := newLimits(3, false)
+		w := catkinspindle.WorkspaceSpec{Name: "w", MaxTokens: 100_000}
+		admit := func(l *limits.Limits) error {
+			_, err := l.Admit(context.Background(), w, 60_000, time.Now().Add(10*time.Second))
+			return err
+		}
+		if err := admit(all[0]); err != nil {
+			t.Fatal(err)
+		}
+		if err := admit(all[1]); err == nil {
+			t.Error("120,000 tokens are in flight")
+		}
+		time.Sleep(12 * time.Second)
+		if err := admit(all[1]); err != nil {
+			t.Errorf("after the deadline of the dead node's request: %v", err)
+		}
+	})
+}
