Compute the turns of refused callers in one place

The owner of a workspace keeps the number of a node's last report also when it has no tokens in flight, so that a late one does not count tokens that have ended, and records nothing for workspaces without that limit.

--- a/home/home.go
+++ b/home/home.go
@@ -122,7 +122,7 @@
 		return catkinspindle.Fail(notRun, catkinspindle.ReasonNoBackend, "engine %s is not ready", h.engine)
 	}
 	if wait := h.rateWait(time.Now()); wait > 0 && !t.AwaitRate {
-		return catkinspindle.Fail(notRun, catkinspindle.ReasonRateLimit, "rate limit of engine %s is used up", h.engine).WithRetryAfter(h.turn(wait, t.Deadline))
+		return catkinspindle.Fail(notRun, catkinspindle.ReasonRateLimit, "rate limit of engine %s is used up", h.engine).WithRetryAfter(h.turns.Turn(time.Now(), wait, h.perSecond(), time.Until(t.Deadline)))
 	}
 	if t.MemoryTokens > h.status.Capacity {
 		return catkinspindle.Fail(notRun, catkinspindle.ReasonNeverFits, "engine %s has memory for %d tokens, request needs %d", h.engine, h.status.Capacity, t.MemoryTokens)
--- a/home/rate.go
+++ b/home/rate.go
@@ -18,15 +18,3 @@
 func (h *Ledger) perSecond() float64 {
 	return h.status.RateLimit.WithMinimum().PerSecond * h.rateShare
 }
-
-// turn returns after which time a refused caller should retry, when the rate limit is free again
-// after wait. Callers that can still be served before their deadline get one turn each.
-func (h *Ledger) turn(wait time.Duration, deadline time.Time) time.Duration {
-	now := time.Now()
-	next := now.Add(wait)
-	next = next.Add(h.turns.Wait(next, h.perSecond()))
-	if next.Before(deadline) {
-		h.turns.Take(next, h.perSecond())
-	}
-	return next.Sub(now)
-}
--- a/limits/usage.go
+++ b/limits/usage.go
@@ -89,10 +89,11 @@
 	return 0
 }
 
-// record stores the tokens in flight on the sender of a report, unless a later one is known.
+// record stores the tokens in flight on the sender of a report if they are limited and no later
+// report is known.
 func (u *usage) record(r usageReport, tokens int, now time.Time) {
 	known := u.nodes[r.From]
-	if known.seq > r.Seq {
+	if r.MaxTokens <= 0 || known.seq > r.Seq {
 		return
 	}
 	until := now.Add(r.TimeLeft + reportSlack)
@@ -100,9 +101,6 @@
 		until = known.until
 	}
 	u.nodes[r.From] = nodeUsage{r.Seq, tokens, until}
-	if tokens <= 0 {
-		delete(u.nodes, r.From)
-	}
 }
 
 // admitsTokens reports whether the tokens of a request fit into the limit. A prompt larger than
--- a/pacing/pacer.go
+++ b/pacing/pacer.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// Turn returns how long after now a refused caller should retry, if another request is permitted
+// after wait. The pacer spaces the turns; a caller whose turn comes after timeLeft takes none.
+func (p *Pacer) Turn(now time.Time, wait time.Duration, perSecond float64, timeLeft time.Duration) time.Duration {
+	wait += p.Wait(now.Add(wait), perSecond)
+	if wait < timeLeft {
+		p.Take(now.Add(wait), perSecond)
+	}
+	return wait
+}
+
 // StartAt makes the pacer behave as if the whole burst had been used at t, unless it has
 // permitted a later request. It is used when the requests before t are unknown.
 func (p *Pacer) StartAt(t time.Time, perSecond float64) {
--- a/pacing/pacer_test.go
+++ b/pacing/pacer_test.go
@@ -68,3 +68,16 @@
 		})
 	}
 }
+
+// Refused callers get turns one after the other, as long as they can return in time.
+func TestTurnsAreSpaced(t *testing.T) {
+	var p pacing.Pacer
+	var got []time.Duration
+	for range 4 {
+		got = append(got, p.Turn(start, 300*time.Millisecond, 2, 1200*time.Millisecond))
+	}
+	want := []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 1300 * time.Millisecond, 1300 * time.Millisecond}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("turns (-want +got):\n%s", diff)
+	}
+}
--- a/permits/client.go
+++ b/permits/client.go
@@ -153,10 +153,5 @@
 		p.granted.Take(now, perSecond)
 		return 0
 	}
-	next := now.Add(wait)
-	next = next.Add(p.turns.Wait(next, perSecond))
-	if next.Sub(now) < timeLeft {
-		p.turns.Take(next, perSecond)
-	}
-	return next.Sub(now)
+	return p.turns.Turn(now, wait, perSecond, timeLeft)
 }
--- a/placement/rate_limits.go
+++ b/placement/rate_limits.go
@@ -107,11 +107,7 @@
 		turns = &pacing.Pacer{}
 		p.rateTurns[key] = turns
 	}
-	next = next.Add(turns.Wait(next, total))
-	wait := next.Sub(now)
-	if wait < j.TimeLeft {
-		turns.Take(next, total)
-	}
+	wait := turns.Turn(now, next.Sub(now), total, j.TimeLeft)
 	return refusal(j, catkinspindle.ReasonOverload, max(p.policy.MinRetry, wait), wait).WithCheck(catkinspindle.CheckRateLimit, 0)
 }
 
