--- a/fleet/rate_limits.go
+++ b/fleet/rate_limits.go
@@ -52,7 +52,7 @@
 	return catkinspindle.RateAuthority{Share: float64(followers) / float64(members), Since: since}
 }
 
-// lastSeen returns when this node last heard from the member or expected to.
+// lastSeen returns when the member last responded or, if later, until when it was presumed alive.
 func (n *member) lastSeen() time.Time {
 	seen := n.presumedAliveUntil
 	for _, t := range []time.Time{n.lastHeartbeat, n.lastResponse, n.followedAt} {
