Log the prompt parts of failed attempts

The logs could not tell which request a crash of a replica belongs to. The envelope now holds the IDs of the parts that other requests may share (all but the last), and the log line of a failed attempt has them. Attempts that could not connect are logged too: whether a replica refuses connections after an attempt has broken tells a crash from a reset connection. No decision changes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -242,6 +242,7 @@
 func (x *exchange) handleSendError(ctx context.Context, p catkinspindle.Placement, result *catkinspindle.AttemptResult, err error) *catkinspindle.Failure {
 	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
 		result.Outcome = catkinspindle.OutcomeUnreachable
+		x.logFailedAttempt(p, "unreachable", err)
 		return x.retryUnsent(ctx, result, p.Replica)
 	}
 	x.sent++
--- a/route.go
+++ b/route.go
@@ -161,6 +161,8 @@
 	// length of its answer; zero for plain requests.
 	PromptTokens int
 	AnswerTokens int
+	// SharedParts are the IDs of the parts of the prompt that other requests may share.
+	SharedParts []string
 	// AfterEvent is the ID of the last event that the caller has received.
 	AfterEvent string
 }
