Hold requests whose prompt part crashes replicas

Cause: a failed attempt was put down to the replica alone. Nothing recorded what the replica was asked for, so that the request was sent on at once and the next one with the part as well.

The failing test has the same picture on the stand-in. Retries alone do not explain it: most crashes come from first attempts.

The fix: the package quarantine decides what is held. A node that loses an attempt before its second event connects to the replica; if that is refused and the replica has not announced that it leaves, the keys of the request are suspects of the crash. Nodes share crashes with their heartbeats (at once after a crash), hubs pass on suspects of two crashes or more. A key is held from the third crashed replica without an answer that has begun in between, five over 1.5 s if its answers have begun shortly before; crashes under a held key do not count against the others. An answer that begins anywhere ends the suspicion and the hold. Held requests are refused at once without Retry-After, 503 if they have not run; the check is repeated right before a request is sent. A hold gets two trials, 30 s and 5 minutes later, granted by the coordinator of more than half of the fleet.

Ruled out: a hold after 5 crashes (more crashes without a safer verdict, because an answer that begins clears the suspect); judging before the reports of the other nodes are in (holds what dies beside the part).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/placement"
+	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
@@ -54,6 +55,7 @@
 	// authority returns this node's authority over the rate limits of a pool.
 	authority  func(catkinspindle.Pool) catkinspindle.RateAuthority
 	rateLimits *ratelimits.Table
+	quarantine *quarantine.Table
 	// onDeparture is called for each departure of a replica that another node reports.
 	onDeparture func(catkinspindle.Departure)
 	seq         atomic.Uint64
@@ -125,6 +127,7 @@
 
 		authority:   func(catkinspindle.Pool) catkinspindle.RateAuthority { return catkinspindle.FullRateAuthority() },
 		rateLimits:  ratelimits.New(),
+		quarantine:  quarantine.New(),
 		onDeparture: func(catkinspindle.Departure) {},
 	}
 	for _, opt := range opts {
@@ -132,6 +135,7 @@
 	}
 	peers.Handle(placeKind, c.handlePlace)
 	peers.Handle(reportKind, c.handleReport)
+	peers.Handle(trialKind, c.handleTrial)
 	return c
 }
 
--- a/events/event.go
+++ b/events/event.go
@@ -25,6 +25,8 @@
 	ReplicaChanged    Event = 4004
 	ReplicaFailed     Event = 4005
 	RateLimited       Event = 4006
+	ReplicaCrashed    Event = 4007
+	Quarantined       Event = 4008
 	RequestEnded      Event = 5003
 	LinesDropped      Event = 1006
 	LibraryMessage    Event = 1007
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/view"
 )
@@ -25,6 +26,8 @@
 	hubCount = 4
 	// heartbeatInterval is the interval of heartbeats to hubs.
 	heartbeatInterval = 250 * time.Millisecond
+	// wakeDelay is how long a heartbeat that Wake requests is delayed.
+	wakeDelay = 20 * time.Millisecond
 	// heartbeatTimeout bounds a heartbeat.
 	heartbeatTimeout = 400 * time.Millisecond
 	// livenessTimeout is the time without a heartbeat after which a node is considered dead.
@@ -112,6 +115,9 @@
 	// replaced are the incarnations superseded by newer ones since the last tick.
 	replaced   []catkinspindle.Node
 	rateLimits *ratelimits.Table
+	quarantine *quarantine.Table
+	// wake requests a heartbeat before the next interval.
+	wake chan struct{}
 	// coordinatorSince is the time since which this node is the coordinator, zero if it is
 	// not. hubsSince is when the responding hubs last changed.
 	coordinatorSince time.Time
@@ -141,19 +147,23 @@
 	substituteWatchers int
 	// lastWatchReport is when the node last reported that it watches the store.
 	lastWatchReport time.Time
-	// departuresSent is the position in this node's departure log up to which the hub has
-	// it, departuresReceived the position in the hub's log up to which this node has it.
-	// Both hold for the hub's incarnation departuresIncarnation.
-	departuresSent, departuresReceived uint64
-	departuresIncarnation              int64
-	// rateLimitsSent and rateLimitsReceived are the same positions in the tables of rate limits.
-	rateLimitsSent, rateLimitsReceived uint64
+	// sent are the positions in this node's records up to which the hub has them, received the
+	// positions in the hub's records up to which this node has them. Both hold for the hub's
+	// incarnation statesIncarnation.
+	sent, received    positions
+	statesIncarnation int64
 	// followedAt is when the node last sent a heartbeat to this node as its coordinator.
 	followedAt time.Time
 	// unregisteredSince is the time since which the store does not list the node.
 	unregisteredSince time.Time
 }
 
+// positions are positions in the departure log, the table of rate limits and the table of
+// requests that crash replicas.
+type positions struct {
+	departures, rateLimits, quarantine uint64
+}
+
 // Option configures a fleet.
 type Option func(*Fleet)
 
@@ -207,6 +217,8 @@
 
 		onRegistrationLost: func() {},
 		rateLimits:         ratelimits.New(),
+		quarantine:         quarantine.New(),
+		wake:               make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -326,10 +338,24 @@
 			f.setWatching(ctx, false)
 			return
 		case <-ticker.C:
+		case <-f.wake:
+			// What follows shortly is sent with the same heartbeat.
+			select {
+			case <-ctx.Done():
+			case <-time.After(wakeDelay):
+			}
 		}
 	}
 }
 
+// Wake sends the next heartbeat at once.
+func (f *Fleet) Wake() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // LiveNodes returns the nodes that accept callers.
 func (f *Fleet) LiveNodes() []catkinspindle.Node {
 	f.mu.Lock()
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -31,6 +31,9 @@
 	// rate limits of replicas.
 	RateLimits      []catkinspindle.RateLimitReport `cbor:"10,keyasint,omitempty"`
 	RateLimitsSince uint64                          `cbor:"11,keyasint,omitempty"`
+	// Quarantine and QuarantineSince are the same for the requests that crash replicas.
+	Quarantine      *catkinspindle.QuarantineReport `cbor:"12,keyasint,omitempty"`
+	QuarantineSince uint64                          `cbor:"13,keyasint,omitempty"`
 }
 
 func (m heartbeatRequest) forHub(isCoordinator bool) heartbeatRequest {
@@ -72,12 +75,15 @@
 	// up to RateLimitsAt.
 	RateLimits   []catkinspindle.RateLimitReport `cbor:"13,keyasint,omitempty"`
 	RateLimitsAt uint64                          `cbor:"14,keyasint,omitempty"`
+	// Quarantine is the same for the requests that crash replicas.
+	Quarantine   *catkinspindle.QuarantineReport `cbor:"15,keyasint,omitempty"`
+	QuarantineAt uint64                          `cbor:"16,keyasint,omitempty"`
 }
 
 // exchangeHeartbeat sends a heartbeat to a hub, records the result and exchanges what either
 // side lacks.
 func (f *Fleet) exchangeHeartbeat(ctx context.Context, to catkinspindle.Node, m heartbeatRequest) {
-	departuresSent, rateLimitsSent := f.addReplicaStates(to, &m)
+	sent := f.addReplicaStates(to, &m)
 	a, err := f.sendHeartbeat(ctx, to, m)
 	f.mu.Lock()
 	peer, ok := f.members[to.Name]
@@ -108,11 +114,11 @@
 			peer.RegistrationRevision = max(revision, a.From.RegistrationRevision)
 		}
 		peer.Leaving = peer.Leaving || a.From.Leaving
-		peer.departuresSent, peer.departuresReceived, peer.departuresIncarnation = departuresSent, a.DeparturesAt, a.From.Incarnation
-		peer.rateLimitsSent, peer.rateLimitsReceived = rateLimitsSent, a.RateLimitsAt
+		peer.sent, peer.statesIncarnation = sent, a.From.Incarnation
+		peer.received = positions{a.DeparturesAt, a.RateLimitsAt, a.QuarantineAt}
 		if m.HubIncarnation != a.From.Incarnation {
 			// Earlier states went to another incarnation of the hub: send all again.
-			peer.departuresSent, peer.rateLimitsSent = 0, 0
+			peer.sent = positions{}
 		}
 	}
 	if a.Live != nil && to.Name == f.coordinator.Name {
@@ -124,6 +130,7 @@
 	}
 	f.recordDepartures(a.Departures, to.Name)
 	f.recordRateLimits(a.RateLimits, to.Name)
+	f.recordQuarantine(a.Quarantine)
 	f.catchUp(ctx, to, a)
 	f.pushState(ctx, to, a)
 }
@@ -203,6 +210,7 @@
 	}
 	f.recordDepartures(m.Departures, m.From.Name)
 	f.recordRateLimits(m.RateLimits, m.From.Name)
+	f.recordQuarantine(m.Quarantine)
 	state := f.view.State()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -230,10 +238,11 @@
 		a.Live = f.liveSince(m.LiveHash)
 	}
 	if m.HubIncarnation != f.self.Incarnation {
-		m.DeparturesSince, m.RateLimitsSince = 0, 0
+		m.DeparturesSince, m.RateLimitsSince, m.QuarantineSince = 0, 0, 0
 	}
 	a.Departures, a.DeparturesAt = f.view.Departures(m.DeparturesSince, false)
 	a.RateLimits, a.RateLimitsAt = f.rateLimits.Since(time.Now(), m.RateLimitsSince, false)
+	a.Quarantine, a.QuarantineAt = f.quarantineSince(m.QuarantineSince, false)
 	if state.ReplicasAt.After(m.ReplicasAt) {
 		if changes, upTo, ok := f.view.Since(m.ReplicasAt); ok {
 			a.Changes, a.ReplicasAt, a.ChangesComplete = changes, upTo, true
@@ -242,18 +251,21 @@
 	return a, nil
 }
 
-// addReplicaStates adds to a heartbeat the departures and rate limits that have not been sent to
-// the hub. It returns the positions up to which the hub has them once it has received those.
-func (f *Fleet) addReplicaStates(to catkinspindle.Node, m *heartbeatRequest) (departures, rateLimits uint64) {
+// addReplicaStates adds to a heartbeat the departures, rate limits and quarantine records that
+// have not been sent to the hub. It returns the positions up to which the hub has them once it
+// has received those.
+func (f *Fleet) addReplicaStates(to catkinspindle.Node, m *heartbeatRequest) positions {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var sent positions
 	if peer, ok := f.members[to.Name]; ok {
-		departures, m.DeparturesSince, m.HubIncarnation = peer.departuresSent, peer.departuresReceived, peer.departuresIncarnation
-		rateLimits, m.RateLimitsSince = peer.rateLimitsSent, peer.rateLimitsReceived
+		sent, m.HubIncarnation = peer.sent, peer.statesIncarnation
+		m.DeparturesSince, m.RateLimitsSince, m.QuarantineSince = peer.received.departures, peer.received.rateLimits, peer.received.quarantine
 	}
-	m.Departures, departures = f.view.Departures(departures, true)
-	m.RateLimits, rateLimits = f.rateLimits.Since(time.Now(), rateLimits, true)
-	return departures, rateLimits
+	m.Departures, sent.departures = f.view.Departures(sent.departures, true)
+	m.RateLimits, sent.rateLimits = f.rateLimits.Since(time.Now(), sent.rateLimits, true)
+	m.Quarantine, sent.quarantine = f.quarantineSince(sent.quarantine, true)
+	return sent
 }
 
 // recordDepartures marks replicas as leaving whose departures another node has sent.
--- a/fleet/rate_limits_test.go
+++ b/fleet/rate_limits_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,7 @@
 	"github.com/catkinspindle/catkinspindle/placement"
 	"github.com/catkinspindle/catkinspindle/platform"
 	"github.com/catkinspindle/catkinspindle/platform/standin/replica"
+	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/retries"
 	"github.com/catkinspindle/catkinspindle/view"
@@ -43,6 +45,7 @@
 	*fleet.Fleet
 	coordinator *coordinator.Coordinator
 	gateway     *gateway.Gateway
+	quarantine  *quarantine.Table
 }
 
 // servingFleet is a fleet of nodes that serve callers from replicas in the same process.
@@ -52,6 +55,7 @@
 	members  []catkinspindle.Node
 	nodes    []*servingNode
 	replicas map[string]*replica.Replica
+	crashing *crashingReplicas
 	listed   map[string]catkinspindle.Replica
 }
 
@@ -91,6 +95,12 @@
 	for i := range plainReplicas {
 		add(fmt.Sprintf("app-%d", i), "app")
 	}
+	f.crashing = &crashingReplicas{
+		replicaSender: f.replicas,
+		deadly:        func(catkinspindle.Envelope) bool { return false },
+		downUntil:     map[string]time.Time{},
+		cut:           map[string]chan struct{}{},
+	}
 	for i := range count {
 		f.members = append(f.members, member(i, 1))
 	}
@@ -113,16 +123,17 @@
 	v.SetRouting(rateTestRouting)
 	v.SetReplicas(f.listed, position(1), time.Time{})
 	n := &servingNode{}
+	n.quarantine = quarantine.New(quarantine.WithOnLocal(func() { n.Wake() }))
 	peers := endpoint{f.network, self.PeerAddress}
-	n.Fleet = fleet.New(self, peers, v, func(ctx context.Context) { <-ctx.Done() }, log, fleet.WithRateLimits(limits),
+	n.Fleet = fleet.New(self, peers, v, func(ctx context.Context) { <-ctx.Done() }, log, fleet.WithRateLimits(limits), fleet.WithQuarantine(n.quarantine),
 		fleet.WithCoordinatorChange(func(catkinspindle.Node) { n.coordinator.ReportOpenJobs() }),
 		fleet.WithNodeLost(func(dead catkinspindle.Node) { n.coordinator.RemoveNode(dead) }))
 	n.SetRegistered(f.members)
-	n.coordinator = coordinator.New(self, planner, peers, n.Coordinator, n.MarkUnresponsive, log, coordinator.WithRateLimits(limits, n.RateAuthority))
+	n.coordinator = coordinator.New(self, planner, peers, n.Coordinator, n.MarkUnresponsive, log, coordinator.WithRateLimits(limits, n.RateAuthority), coordinator.WithQuarantine(n.quarantine))
 	budget := retries.New(catkinspindle.RetryBudget{Window: 10 * time.Second, Min: 100}, 1)
-	n.gateway = gateway.New(v, n.coordinator, replicaSender(f.replicas), noReservations{}, budget,
+	n.gateway = gateway.New(v, n.coordinator, f.crashing, noReservations{}, budget,
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, log,
-		gateway.WithRateLimits(limits, n.coordinator.ReportRateLimit))
+		gateway.WithRateLimits(limits, n.coordinator.ReportRateLimit), gateway.WithQuarantine(n.quarantine, f.crashing, n.coordinator.AllowTrial))
 	f.nodes[i] = n
 	if err := errors.Join(n.coordinator.Start(context.Background()), n.Start(context.Background())); err != nil {
 		f.t.Error(err)
@@ -178,8 +189,14 @@
 
 // send sends a request to a node and returns the response.
 func (f *servingFleet) send(node, n int, target string, tokens int) *http.Response {
+	return f.sendWith(node, n, target, tokens, nil)
+}
+
+// sendWith is send with further headers.
+func (f *servingFleet) sendWith(node, n int, target string, tokens int, header http.Header) *http.Response {
 	req := httptest.NewRequest(http.MethodPost, target, strings.NewReader("prompt"))
 	req.Host = rateTestHost
+	maps.Copy(req.Header, header)
 	req.Header.Set("Attempt-Id", fmt.Sprintf("n%d/%s/%d", node, target, n))
 	req.Header.Set("Deadline-Ms", "4000")
 	if tokens > 0 {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -15,13 +15,19 @@
 // forwardPlain forwards an answer that is not an event stream. An answer of at most
 // maxBufferedBytes is read completely before its head is sent, so that a failed attempt can
 // be retried.
-func (x *exchange) forwardPlain(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, result *catkinspindle.AttemptResult, startedAt time.Time) (bool, *catkinspindle.Failure) {
+func (x *exchange) forwardPlain(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, answer *catkinspindle.Answer, result *catkinspindle.AttemptResult, startedAt time.Time) (bool, *catkinspindle.Failure) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
 		x.logFailedAttempt(p, "broken", err)
+		if len(body) == 0 {
+			x.suspectCrash(replica, err)
+		}
 		return false, x.retrySent(ctx, result, p.Replica)
 	}
 	result.TimeToFirstEvent = time.Since(startedAt)
+	if answer.Status/100 == 2 {
+		x.recordBegun()
+	}
 	if answer.Status >= http.StatusInternalServerError {
 		x.logFailedAttempt(p, "failed with status "+strconv.Itoa(answer.Status), nil)
 		if x.route.RetryMode != catkinspindle.RetryNever && x.retrySent(ctx, result, p.Replica) == nil && !x.responseBegun {
@@ -108,13 +114,17 @@
 }
 
 // forwardEvents forwards complete events as they arrive.
-func (x *exchange) forwardEvents(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, stall *stallTimer, result *catkinspindle.AttemptResult, startedAt time.Time) (bool, *catkinspindle.Failure) {
+func (x *exchange) forwardEvents(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, answer *catkinspindle.Answer, stall *stallTimer, result *catkinspindle.AttemptResult, startedAt time.Time) (bool, *catkinspindle.Failure) {
 	reader := eventstream.NewReader(answer.Body)
 	control := http.NewResponseController(x.w)
+	received := 0
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			result.Outcome = catkinspindle.OutcomeDone
+			if received > 0 && received < harmlessEvents {
+				x.recordBegun()
+			}
 			if !x.responseBegun {
 				x.beginResponse(answer)
 				x.w.WriteHeader(answer.Status)
@@ -130,6 +140,9 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				x.logFailedAttempt(p, "stream broken after event "+x.lastEventID, err)
+				if received < harmlessEvents {
+					x.suspectCrash(replica, err)
+				}
 			}
 			if f := x.retrySent(ctx, result, p.Replica); f != nil {
 				return false, f
@@ -141,6 +154,9 @@
 		}
 		if !event.CommentOnly {
 			stall.reset()
+			if received++; received == harmlessEvents {
+				x.recordBegun()
+			}
 		}
 		if result.TimeToFirstEvent == 0 && !event.CommentOnly {
 			result.TimeToFirstEvent = time.Since(startedAt)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,6 +52,10 @@
 	envelope      catkinspindle.Envelope
 	replicas      map[string]catkinspindle.Replica
 	bodyBytes     int64
+	// keys are the keys under which crashes of replicas are recorded. isTrial is true if the
+	// request may be sent once although one of them is held.
+	keys    []catkinspindle.RequestKey
+	isTrial bool
 
 	mu sync.Mutex
 	// failover is the placement that takes over when the current replica stalls.
@@ -106,10 +110,14 @@
 	defer cancel()
 	x.lastEventID = x.envelope.AfterEvent
 	defer x.releaseFailover()
+	x.checkTrial(ctx)
 	for {
 		if f := x.contextFailure(ctx); f != nil {
 			return f
 		}
+		if f := x.heldFailure(); f != nil {
+			return f
+		}
 		p, ok := x.takeFailover()
 		if ok {
 			x.recordPlacement(p)
@@ -182,13 +190,19 @@
 	if !ok {
 		return false, x.skipPlacement(result)
 	}
+	if f := x.heldFailure(); f != nil {
+		if probe {
+			x.gateway.cooldown.EndProbe(replica)
+		}
+		return false, f
+	}
 	result.Outcome = catkinspindle.OutcomeFailed
 	sent, avoid := x.sent+1, append(slices.Clone(x.avoid), p.Replica)
 	attemptCtx, stall := newStallTimer(ctx, x.stallTimeout(p), func() bool { return x.placeFailover(ctx, sent, avoid) }, x.releaseFailover)
 	defer stall.stop()
 	answer, err := x.send(attemptCtx, p, replica, helpers, probe, &result)
 	if err != nil {
-		return false, x.handleSendError(ctx, p, &result, err)
+		return false, x.handleSendError(ctx, p, replica, &result, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	x.sent++
@@ -197,9 +211,9 @@
 	}
 	x.verdict = catkinspindle.Ran
 	if answer.Status/100 == 2 && x.route.Streaming {
-		return x.forwardEvents(ctx, p, answer, stall, &result, startedAt)
+		return x.forwardEvents(ctx, p, replica, answer, stall, &result, startedAt)
 	}
-	return x.forwardPlain(ctx, p, answer, &result, startedAt)
+	return x.forwardPlain(ctx, p, replica, answer, &result, startedAt)
 }
 
 // send sends the request once and applies the replica's state that the answer reports.
@@ -239,7 +253,7 @@
 }
 
 // handleSendError handles an attempt that ended without an answer.
-func (x *exchange) handleSendError(ctx context.Context, p catkinspindle.Placement, result *catkinspindle.AttemptResult, err error) *catkinspindle.Failure {
+func (x *exchange) handleSendError(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, result *catkinspindle.AttemptResult, err error) *catkinspindle.Failure {
 	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
 		result.Outcome = catkinspindle.OutcomeUnreachable
 		x.logFailedAttempt(p, "unreachable", err)
@@ -248,6 +262,7 @@
 	x.sent++
 	x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
 	x.logFailedAttempt(p, "broken", err)
+	x.suspectCrash(replica, err)
 	return x.retrySent(ctx, result, p.Replica)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,9 +17,12 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/cooldown"
+	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/retries"
 	"github.com/catkinspindle/catkinspindle/routes"
@@ -95,7 +98,14 @@
 	cooldown        *cooldown.Table
 	rateLimits      *ratelimits.Table
 	// onRateLimit is called with a replica whose rate limit the placing node may not know.
-	onRateLimit      func(catkinspindle.Replica)
+	onRateLimit func(catkinspindle.Replica)
+	// quarantine has the requests that crash replicas. group runs the probes of replicas that
+	// may have crashed, crashProbes shares a probe between the requests of one replica.
+	quarantine       *quarantine.Table
+	crashDetector    CrashDetector
+	allowTrial       func(context.Context, catkinspindle.RequestKey) bool
+	group            errgroup.Group
+	crashProbes      singleflight.Group
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
 	refusing         atomic.Bool
@@ -130,13 +140,16 @@
 
 // New returns a Gateway.
 func New(v *view.View, p Placer, s Sender, m ReservationManager, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, maxBodyBytes: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, quarantine: quarantine.New(), crashDetector: noDetector{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
 	for _, opt := range opts {
 		opt(g)
 	}
 	return g
 }
 
+// Wait waits until no replica is being probed for a crash.
+func (g *Gateway) Wait() error { return g.group.Wait() }
+
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -206,6 +219,7 @@
 	if err != nil {
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "%w", err)
 	}
+	x.keys = x.requestKeys()
 	x.service = routes.Target(route, rand.Float64())
 	x.replicas = state.Replicas
 	timeout := route.Timeout
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -177,13 +177,22 @@
 	}
 	timer := time.NewTimer(p.Delay)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
-		return x.contextFailure(ctx)
+	var f *catkinspindle.Failure
+	for f == nil {
+		changed := x.gateway.quarantine.Changed()
+		if f = x.heldFailure(); f != nil {
+			break
+		}
+		select {
+		case <-timer.C:
+			return nil
+		case <-changed:
+		case <-ctx.Done():
+			f = x.contextFailure(ctx)
+		}
 	}
+	x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+	return f
 }
 
 func (x *exchange) refusal(p catkinspindle.Placement) *catkinspindle.Failure {
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/quarantine"
+)
+
+const (
+	// crashProbeTimeout bounds the connection that tells a crashed replica from a reset
+	// connection.
+	crashProbeTimeout = 300 * time.Millisecond
+	// harmlessEvents is the number of events of one attempt from which the replica has
+	// survived the begin of its answer.
+	harmlessEvents = 2
+)
+
+// CrashDetector tells crashed replicas from broken connections.
+type CrashDetector interface {
+	// Refuses reports whether the replica refuses connections.
+	Refuses(ctx context.Context, r catkinspindle.Replica) bool
+}
+
+// WithQuarantine sets the table of the requests that crash replicas. trial reports whether a
+// request with a held key may be sent despite the hold, to see whether it still does harm.
+func WithQuarantine(t *quarantine.Table, d CrashDetector, trial func(context.Context, catkinspindle.RequestKey) bool) Option {
+	return func(g *Gateway) { g.quarantine, g.crashDetector, g.allowTrial = t, d, trial }
+}
+
+// noDetector detects no crashes.
+type noDetector struct{}
+
+func (noDetector) Refuses(context.Context, catkinspindle.Replica) bool { return false }
+
+// requestKeys returns the keys under which crashes of replicas are recorded, from the one that
+// most requests share to the most specific one.
+func (x *exchange) requestKeys() []catkinspindle.RequestKey {
+	keys := make([]catkinspindle.RequestKey, 0, len(x.envelope.SharedParts))
+	for _, part := range x.envelope.SharedParts {
+		keys = append(keys, catkinspindle.PartKey(part))
+	}
+	return keys
+}
+
+// checkTrial makes the request a trial if one of its keys is held and a trial is due.
+func (x *exchange) checkTrial(ctx context.Context) {
+	g := x.gateway
+	key, held := g.quarantine.Held(time.Now(), x.keys)
+	x.isTrial = held && g.quarantine.TrialDue(time.Now(), key) && g.allowTrial(ctx, key)
+}
+
+// heldFailure returns a failure if a key of the request is held. It has no Retry-After: a
+// retry would be refused as well.
+func (x *exchange) heldFailure() *catkinspindle.Failure {
+	key, held := x.gateway.quarantine.Held(time.Now(), x.keys)
+	if !held || (x.isTrial && x.sent == 0) {
+		return nil
+	}
+	return catkinspindle.Fail(x.verdict, catkinspindle.ReasonQuarantined, "replicas have crashed under requests with the key %s", key)
+}
+
+// recordBegun records that an answer to the request has begun without harm to its replica.
+func (x *exchange) recordBegun() { x.gateway.quarantine.Begun(time.Now(), x.keys) }
+
+// connectionBroke reports whether err means that the peer closed or reset the connection.
+func connectionBroke(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// suspectCrash records the keys of the request as suspects if its attempt at r has failed with
+// err because r has crashed.
+func (x *exchange) suspectCrash(r catkinspindle.Replica, err error) {
+	g, keys, id, parts := x.gateway, x.keys, x.envelope.ID, x.envelope.SharedParts
+	if len(keys) == 0 || !connectionBroke(err) {
+		return
+	}
+	at := time.Now()
+	g.group.Go(func() error {
+		if g.hasCrashed(r) {
+			g.log.Info("replica crashed under a request", events.ReplicaCrashed.Attr(), "request", id, "replica", r.ID, "born", r.Incarnation, "parts", parts)
+			g.quarantine.Crashed(time.Now(), at, r, keys)
+		}
+		return nil
+	})
+}
+
+// hasCrashed reports whether r, whose connection broke, has crashed: it has a later incarnation,
+// or refuses connections without having announced that it leaves.
+func (g *Gateway) hasCrashed(r catkinspindle.Replica) bool {
+	refuses, _, _ := g.crashProbes.Do(fmt.Sprintf("%s/%d", r.ID, r.Incarnation), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+		defer cancel()
+		return g.crashDetector.Refuses(ctx, r), nil
+	})
+	listed, ok := g.view.State().Replicas[r.ID]
+	switch {
+	case !ok || (listed.SameIncarnation(r) && listed.Leaving):
+		return false
+	case !listed.SameIncarnation(r):
+		return listed.Incarnation > r.Incarnation
+	}
+	return refuses.(bool)
+}
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -25,6 +25,7 @@
 	"github.com/catkinspindle/catkinspindle/peers"
 	"github.com/catkinspindle/catkinspindle/placement"
 	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/replicas"
 	"github.com/catkinspindle/catkinspindle/reservations"
@@ -64,6 +65,7 @@
 	reserver    *reservations.Manager
 	retryBudget *retries.Budget
 	rateLimits  *ratelimits.Table
+	quarantine  *quarantine.Table
 	gateway     *gateway.Gateway
 	listeners   *listeners
 	transport   *peers.Transport
@@ -112,6 +114,7 @@
 		n.store = platform.NewStore(s.Store, platform.WithStoreRestored(n.storeRestored))
 	}
 	n.rateLimits = ratelimits.New()
+	n.quarantine = quarantine.New(quarantine.WithOnHold(n.holdChanged), quarantine.WithOnLocal(n.wakeFleet))
 	n.planner = placement.New(placement.WithRateLimits(n.rateLimits))
 	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics))
 	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving)), n.log)
@@ -121,6 +124,7 @@
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithConfigExpected(func() bool { return !n.storeFailing.Load() }),
 		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits, n.reportRateLimit),
+		gateway.WithQuarantine(n.quarantine, n.replicas, n.allowTrial),
 		gateway.WithMaxBodyBytes(int64(bodyMemoryShare*float64(s.MemoryMB)*(1<<20))))
 	maxAge := addressLifetime
 	if s.MaxLifetime > 0 {
@@ -176,9 +180,11 @@
 		fleet.WithHubsChange(func() { n.coordinator.ReportDividedJobs() }),
 		fleet.WithRegistrationLost(n.registrationLost),
 		fleet.WithRateLimits(n.rateLimits),
+		fleet.WithQuarantine(n.quarantine),
 		fleet.WithNodeLost(func(f catkinspindle.Node) { n.coordinator.RemoveNode(f) }))
 	n.coordinator = coordinator.New(n.self, n.planner, n.transport, n.fleet.Coordinator, n.fleet.MarkUnresponsive, n.log,
 		coordinator.WithRateLimits(n.rateLimits, n.fleet.RateAuthority),
+		coordinator.WithQuarantine(n.quarantine),
 		coordinator.WithDepartures(func(d catkinspindle.Departure) { n.view.AddDeparture(d, false) }))
 	// A previous process that is still shutting down may hold the address.
 	err = n.retry(ctx, "peer listener", func() error { return n.transport.Start(ctx) })
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -44,7 +44,7 @@
 	n.waitUntil(ctx, startedAt.Add(time.Duration(drainShare*float64(grace))), func() bool { return n.gateway.InFlight() == 0 })
 	unfinished := n.gateway.InFlight()
 	var errs []error
-	errs = append(errs, n.listeners.Stop(ctx))
+	errs = append(errs, n.listeners.Stop(ctx), n.gateway.Wait())
 	n.cancel()
 	if n.isJoined() {
 		errs = append(errs, n.fleet.Stop(ctx), n.coordinator.Stop(ctx), n.transport.Stop(ctx))
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -182,6 +183,18 @@
 	return nil, errors.New("too many 1xx responses")
 }
 
+// Refuses reports whether r refuses connections. A connection that it accepts is kept for the
+// next request.
+func (c *Client) Refuses(ctx context.Context, r catkinspindle.Replica) bool {
+	c.dials.Inc(1)
+	conn, err := c.pool.dial(ctx, r)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.pool.put(conn, 0)
+	return false
+}
+
 // Retain closes the idle connections to incarnations that are not in replicas or
 // that are leaving.
 func (c *Client) Retain(replicas map[string]catkinspindle.Replica) { c.pool.retain(replicas) }
--- a/verdict.go
+++ b/verdict.go
@@ -65,6 +65,7 @@
 	ReasonNotReady         Reason = "not-ready"
 	ReasonStopping         Reason = "stopping"
 	ReasonConflict         Reason = "conflict"
+	ReasonQuarantined      Reason = "quarantined"
 	// ReasonPeerUnreachable means that no connection to another VM could be made. It is
 	// used between VMs only and is not sent to callers.
 	ReasonPeerUnreachable Reason = "peer-unreachable"
