--- a/request_key.go
+++ b/request_key.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"io"
 	"time"
 )
 
@@ -13,13 +14,19 @@
 // PartKey returns the key of a part of a prompt.
 func PartKey(part string) RequestKey { return newRequestKey("part", part) }
 
+// WholeRequestKey returns the key of a request that its caller, the workspace, may repeat.
+func WholeRequestKey(e Envelope, workspace string) RequestKey {
+	return newRequestKey("request", []byte(e.Method), []byte(e.Host), []byte(e.Target), []byte(workspace), e.Body)
+}
+
 // newRequestKey hashes values under a kind, so that no value can be chosen to get the key of
 // another one.
-func newRequestKey(kind string, values ...string) RequestKey {
+func newRequestKey[V string | []byte](kind string, values ...V) RequestKey {
 	h := sha256.New()
-	for _, v := range append([]string{kind}, values...) {
+	_, _ = io.WriteString(h, kind) // Writes to a hash do not fail.
+	for _, v := range values {
 		sum := sha256.Sum256([]byte(v))
-		_, _ = h.Write(sum[:]) // Writes to a hash do not fail.
+		_, _ = h.Write(sum[:])
 	}
 	return RequestKey(h.Sum(nil)[:len(RequestKey{})])
 }
