Add a failing test of a repeated request that crashes replicas

Five nodes; the model service, the plain service and its route that is not idempotent; 50 sound requests and 6 repetitions of one request a second, with the same path and caller and other bodies.

--- a/gatewaynode/crash_test.go
+++ b/gatewaynode/crash_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,11 +35,13 @@
 )
 
 // send sends a request of a caller and returns its status, zero if the answer was cut off.
-func (l crashLoad) send(node int, id, method, target string, tokens int, parts string) int {
-	req, err := site.Request(context.Background(), l.site.CallersAddress(node), id, method, target, site.Key, tokens, callerTimeout)
+// tokens is zero for requests to the plain service, parts is empty for requests without a prompt.
+func (l crashLoad) send(node int, id, target, body string, tokens int, parts string) int {
+	req, err := site.Request(context.Background(), l.site.CallersAddress(node), id, http.MethodPost, target, site.Key, tokens, callerTimeout)
 	if err != nil {
 		return 0
 	}
+	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	if parts != "" {
 		req.Header.Set("Prefix-Hash", parts)
 	}
@@ -93,17 +97,52 @@
 	s.SetDeadly(replica.DeadlyPart("dead"), crashDowntime)
 	l := crashLoad{site: s, nodes: nodes}
 	l.sound = func(node, n int) int {
-		return l.send(node, fmt.Sprintf("sound-%d", n), http.MethodPost, "/chat/x", 900, fmt.Sprintf("shared:40,own%d:860", n))
+		return l.send(node, fmt.Sprintf("sound-%d", n), "/chat/x", "prompt", 900, fmt.Sprintf("shared:40,own%d:860", n))
 	}
 	l.deadly = func(node, n int) int {
-		return l.send(node, fmt.Sprintf("deadly-%d", n), http.MethodPost, "/chat/x", 900, fmt.Sprintf("shared:40,dead:400,own%d:460", n))
+		return l.send(node, fmt.Sprintf("deadly-%d", n), "/chat/x", "prompt", 900, fmt.Sprintf("shared:40,dead:400,own%d:460", n))
 	}
+	l.check(t, 5)
+}
+
+// check runs the load and checks that few deadly requests reach replicas later than 3 s after
+// the crash with the given number, and that sound requests are answered.
+func (l crashLoad) check(t *testing.T, crash int) {
+	t.Helper()
 	sent, answered := l.run(9 * time.Second)
-	if err := s.CheckDeadly(5); err != nil {
+	if err := l.site.CheckDeadly(crash); err != nil {
 		t.Error(err)
 	}
 	if answered < sent/2 {
 		t.Errorf("%d of %d sound requests were answered, want at least half", answered, sent)
 	}
-	t.Logf("%d crashes, %d of %d sound requests answered", s.Crashes(), answered, sent)
+	t.Logf("%d crashes, %d of %d sound requests answered", l.site.Crashes(), answered, sent)
+}
+
+func TestRepeatedRequestDoesNotCrashReplicaAfterReplica(t *testing.T) {
+	const nodes = 5
+	tests := map[string]struct {
+		target string
+		tokens int
+		parts  string
+	}{
+		"model service":                 {"/chat/x", 900, "shared:40,own:860"},
+		"plain service":                 {"/read/x", 0, ""},
+		"plain service, not idempotent": {"/act/x", 0, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, nodes)
+			s.SetDeadly(replica.DeadlyRequest(tt.target, "deadly"), crashDowntime)
+			l := crashLoad{site: s, nodes: nodes}
+			l.sound = func(node, n int) int {
+				return l.send(node, fmt.Sprintf("sound-%d", n), tt.target, fmt.Sprintf("sound %d", n), tt.tokens, tt.parts)
+			}
+			l.deadly = func(node, n int) int {
+				return l.send(node, fmt.Sprintf("deadly-%d", n), tt.target, "deadly", tt.tokens, tt.parts)
+			}
+			l.check(t, 3)
+		})
+	}
 }
