Hold repeated requests that crash replicas

Cause: the requests have no part of their own in common, and nothing compared method, host, path, caller and body.

It covers plain services and routes that must not repeat a request. A request that met several crashes with its retries has as many crashes as the part that caused them; while keys have the same number, further crashes decide, and from the fifth on the most specific key is held.

Ruled out: holding the most specific key from the third crash on.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -42,11 +42,11 @@
 // requestKeys returns the keys under which crashes of replicas are recorded, from the one that
 // most requests share to the most specific one.
 func (x *exchange) requestKeys() []catkinspindle.RequestKey {
-	keys := make([]catkinspindle.RequestKey, 0, len(x.envelope.SharedParts))
+	keys := make([]catkinspindle.RequestKey, 0, len(x.envelope.SharedParts)+1)
 	for _, part := range x.envelope.SharedParts {
 		keys = append(keys, catkinspindle.PartKey(part))
 	}
-	return keys
+	return append(keys, catkinspindle.WholeRequestKey(x.envelope, x.workspace))
 }
 
 // checkTrial makes the request a trial if one of its keys is held and a trial is due.
@@ -78,13 +78,13 @@
 // err because r has crashed.
 func (x *exchange) suspectCrash(r catkinspindle.Replica, err error) {
 	g, keys, id, parts := x.gateway, x.keys, x.envelope.ID, x.envelope.SharedParts
-	if len(keys) == 0 || !connectionBroke(err) {
+	if !connectionBroke(err) {
 		return
 	}
 	at := time.Now()
 	g.group.Go(func() error {
 		if g.hasCrashed(r) {
-			g.log.Info("replica crashed under a request", events.ReplicaCrashed.Attr(), "request", id, "replica", r.ID, "born", r.Incarnation, "parts", parts)
+			g.log.Info("replica crashed under a request", events.ReplicaCrashed.Attr(), "request", id, "replica", r.ID, "born", r.Incarnation, "parts", parts, "key", keys[len(keys)-1].String())
 			g.quarantine.Crashed(time.Now(), at, r, keys)
 		}
 		return nil
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -54,7 +54,7 @@
 }
 
 func (x *exchange) logFailedAttempt(p catkinspindle.Placement, outcome string, err error) {
-	attrs := []any{events.ReplicaFailed.Attr(), "request", x.envelope.ID, "replica", p.Replica, "helpers", len(p.Helpers), "outcome", outcome, "expected-first", p.ExpectedFirstEvent, "parts", x.envelope.SharedParts, "key", catkinspindle.WholeRequestKey(x.envelope, x.workspace).String()}
+	attrs := []any{events.ReplicaFailed.Attr(), "request", x.envelope.ID, "replica", p.Replica, "helpers", len(p.Helpers), "outcome", outcome, "expected-first", p.ExpectedFirstEvent, "parts", x.envelope.SharedParts, "key", x.keys[len(x.keys)-1].String()}
 	if err != nil {
 		attrs = append(attrs, "error", err.Error())
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -18,6 +18,9 @@
 const (
 	// minCrashes is the number of crashed replicas from which a key is held.
 	minCrashes = 3
+	// decisiveCrashes is the number of crashes from which the most specific one of several keys
+	// with the same crashes is held.
+	decisiveCrashes = 5
 	// settleTime is the time after a crash in which other nodes report what else was running
 	// on the replica.
 	settleTime = 250 * time.Millisecond
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -16,9 +16,9 @@
 	times []time.Time
 }
 
-// judge holds the keys that the crashes convict. Of several it holds the one with most crashes
-// first, and of those the most specific one, because the crashes that it explains do not count
-// against the others.
+// judge holds the keys that the crashes convict, the one with most crashes first, because the
+// crashes that it explains do not count against the others. While several have the same number,
+// further crashes decide between them, and from decisiveCrashes on the most specific one is held.
 func (t *Table) judge(now time.Time) {
 	t.prune(now)
 	for {
@@ -40,6 +40,11 @@
 		worst := slices.MaxFunc(ripe, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(len(a.times), len(b.times)), cmp.Compare(a.depth, b.depth), bytes.Compare(a.key[:], b.key[:]))
 		})
+		if len(worst.times) < decisiveCrashes && slices.ContainsFunc(ripe, func(c candidate) bool {
+			return c.key != worst.key && len(c.times) == len(worst.times)
+		}) {
+			return
+		}
 		t.hold(worst.key, &hold{firstCrash: worst.times[0], since: now, lastSeen: now})
 		t.onLocal()
 	}
