Reject refusals without a request ID on reused connections

Report: a faulty replica writes an earlier refusal once more on a kept connection, and clients are told "not run, try again" for requests that a replica has run or is running.

Seen here: on a reused connection a refusal without the request's ID was taken for the answer to the next request, which was then reported as not run (TestRepeatedRefusalOnAKeptConnectionIsNotTakenForTheNextAnswer failed for a refusal and for a misdirected request). Requests that must not run twice use a new connection and were not affected; idempotent ones were.

Cause: answers without ID were rejected on reused connections, except for refusals. Now these are rejected as well, with the verdict may-have-run; the connection is closed. Refusals with the ID of another request were skipped before and still are.

The own interface cannot meet it: its calls and streams use a connection each. A test of that is new (TestDuplicateRefusalIsNotTakenForNextCall); it fails when connections are kept.

--- a/backends/dialer_test.go
+++ b/backends/dialer_test.go
@@ -21,7 +21,7 @@
 // serveDuplicateResponses starts a server that passes each request's number to answer and
 // sends the result. On a reused connection it first sends a duplicate of the previous
 // response.
-func serveDuplicateResponses(t *testing.T, answer func(n int) string) string {
+func serveDuplicateResponses(t *testing.T, answer func(n int) (status int, body string)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -51,8 +51,8 @@
 				if _, err := io.Copy(io.Discard, req.Body); err != nil {
 					break
 				}
-				body := answer(n)
-				response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				status, body := answer(n)
+				response := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
 				if _, err := io.WriteString(conn, previous+response); err != nil {
 					break
 				}
@@ -69,7 +69,7 @@
 // A backend server may send a response twice. On a reused connection, the duplicate would be
 // read as the response to the next call.
 func TestDuplicateReplyIsNotTakenForNextCall(t *testing.T) {
-	address := serveDuplicateResponses(t, func(n int) string { return fmt.Sprint(n) })
+	address := serveDuplicateResponses(t, func(n int) (int, string) { return http.StatusOK, fmt.Sprint(n) })
 	service := backends.New(time.Second).Plain(catkinspindle.VM{Address: address})
 	var got []string
 	for range 3 {
@@ -84,9 +84,32 @@
 	}
 }
 
+// A refusal that is sent again would tell the caller of the next call that it was not run.
+func TestDuplicateRefusalIsNotTakenForNextCall(t *testing.T) {
+	address := serveDuplicateResponses(t, func(n int) (int, string) {
+		if n == 1 {
+			return http.StatusServiceUnavailable, `{"verdict":"not-run","reason":"stopping","message":"leaving"}`
+		}
+		return http.StatusOK, fmt.Sprint(n)
+	})
+	service := backends.New(time.Second).Plain(catkinspindle.VM{Address: address})
+	var got []string
+	for range 3 {
+		reply, err := service.Call(context.Background(), catkinspindle.PlainCall{Service: "s", Method: "buy", Deadline: time.Now().Add(10 * time.Second)})
+		if err != nil {
+			got = append(got, catkinspindle.AsFailure(err).Verdict.String())
+			continue
+		}
+		got = append(got, string(reply.Body))
+	}
+	if diff := cmp.Diff([]string{"not-run", "2", "3"}, got); diff != "" {
+		t.Errorf("replies (-want +got):\n%s", diff)
+	}
+}
+
 // A duplicate of a stream's response must not be read as the response to the next stream.
 func TestDuplicateStreamIsNotTakenForNextStream(t *testing.T) {
-	address := serveDuplicateResponses(t, func(n int) string { return fmt.Sprintf("{\"offset\":%d,\"end\":true}\n", n) })
+	address := serveDuplicateResponses(t, func(n int) (int, string) { return http.StatusOK, fmt.Sprintf("{\"offset\":%d,\"end\":true}\n", n) })
 	engine := backends.New(time.Second).Engine(catkinspindle.VM{Address: address})
 	var got []int
 	for range 3 {
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -119,8 +119,9 @@
 		if head.Encoded || (head.Status/100 == 2 && !head.Sealed) {
 			return nil, fmt.Errorf("response with status %d does not come from the replica: it is encoded or has no seal", head.Status)
 		}
-		if head.ID == "" && conn.reused && !head.NotRun {
-			// It may be a late duplicate response to an earlier request.
+		if head.ID == "" && conn.reused {
+			// It may be a late duplicate response to an earlier request, also if it states that
+			// the request was not run.
 			return nil, fmt.Errorf("response with status %d on a reused connection has no request ID", head.Status)
 		}
 		b := &body{
--- a/replicas/client_test.go
+++ b/replicas/client_test.go
@@ -273,3 +273,47 @@
 		t.Errorf("detection time (-DetectionTime +socket options):\n%s", diff)
 	}
 }
+
+// A refusal states that a request was not run, so one that may be the repetition of an earlier
+// refusal must not end another request.
+func TestRepeatedRefusalOnAKeptConnectionIsNotTakenForTheNextAnswer(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + id + "Content-Length: 0\r\n\r\n"
+	}
+	tests := map[string]struct {
+		refusal string
+		want    string
+	}{
+		"without an ID":                {refusal(""), "may-have-run"},
+		"with the ID of another":       {refusal("Attempt-Id: a\r\n"), "answered"},
+		"misdirected, without an ID":   {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", "may-have-run"},
+		"of this request, with its ID": {refusal("Attempt-Id: b\r\n"), "not-run"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, rawResponse{okResponse("a", "first"), false}, rawResponse{tt.refusal + okResponse("b", "second"), true})
+			c := newClient()
+			if _, err := send(t, c, s, http.MethodPost, "a"); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			e := catkinspindle.Envelope{ID: "b", Method: http.MethodPost, Target: "/p/x", Host: "h", Header: http.Header{"Attempt-Id": {"b"}}}
+			r := catkinspindle.Replica{ID: "r", Address: s.listener.Addr().String(), Incarnation: 1}
+			answer, err := c.Send(ctx, e, catkinspindle.Attempt{Replica: r, TimeLeft: 5 * time.Second}, false)
+			got := "answered"
+			switch {
+			case err != nil:
+				got = catkinspindle.AsFailure(err).Verdict.String()
+			case answer.NotRun:
+				got = "not-run"
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+			if answer != nil {
+				_ = answer.Body.Close()
+			}
+		})
+	}
+}
