Keep what does not resume a stream out of it

Report: a stream has begun and breaks off, the next replica answers with an error, and clients find the text of the error in the middle of their stream, or the stream ends as if it were complete.

Seen here: an answer with status 200 to a resumed stream whose event has no numeric ID was passed on ("data: overloaded", or a text and an empty line), and the stream then ended as complete. Errors with their status did not reach the stream, but ended it although attempts were left.

Cause: the numbers of events were checked only where an event had one.

The fix: from a replica that resumes a stream, an event without a number ends the attempt. Whatever else a replica answers to a resumed stream counts as a failed attempt, and the next replica goes on while attempts are left; otherwise the connection to the caller is aborted.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -28,17 +28,15 @@
 	if answer.Status/100 == 2 {
 		x.recordBegun()
 	}
+	if x.responseBegun {
+		x.logFailedAttempt(p, "answered a resumed stream with status "+strconv.Itoa(answer.Status), nil)
+		return false, x.retrySent(ctx, result, p.Replica)
+	}
 	if answer.Status >= http.StatusInternalServerError {
 		x.logFailedAttempt(p, "failed with status "+strconv.Itoa(answer.Status), nil)
-		if x.route.RetryMode != catkinspindle.RetryNever && x.retrySent(ctx, result, p.Replica) == nil && !x.responseBegun {
+		if x.route.RetryMode != catkinspindle.RetryNever && x.retrySent(ctx, result, p.Replica) == nil {
 			return false, nil
 		}
-		if x.responseBegun {
-			return false, x.fail(catkinspindle.ReasonBackendFailed, "the replica failed to resume the stream")
-		}
-	}
-	if x.responseBegun {
-		return false, x.fail(catkinspindle.ReasonBackendFailed, "the replica answered a resumed stream with a plain response")
 	}
 	x.timeToFirstEvent = time.Since(x.arrivedAt)
 	x.beginResponse(answer)
@@ -117,7 +115,7 @@
 func (x *exchange) forwardEvents(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, answer *catkinspindle.Answer, stall *stallTimer, result *catkinspindle.AttemptResult, startedAt time.Time) (bool, *catkinspindle.Failure) {
 	reader := eventstream.NewReader(answer.Body)
 	control := http.NewResponseController(x.w)
-	received := 0
+	received, resumed := 0, x.responseBegun
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -132,7 +130,7 @@
 			return true, nil
 		}
 		if err == nil {
-			err = x.checkSequence(event)
+			err = x.checkSequence(event, resumed)
 		}
 		if errors.Is(err, errDuplicateEvent) {
 			continue
@@ -196,17 +194,22 @@
 var (
 	errDuplicateEvent = errors.New("event was already forwarded")
 	errEventGap       = errors.New("gap in event numbers")
+	errForeignEvent   = errors.New("event of a resumed stream has no number")
 )
 
-// checkSequence checks that event has the number after that of the last forwarded event.
-// Events without a numeric ID are not checked.
-func (x *exchange) checkSequence(event eventstream.Event) error {
+// checkSequence checks that event has the number after that of the last forwarded event. An event
+// without a numeric ID is not checked, unless it comes from a replica that resumes the stream: it
+// may be no part of it.
+func (x *exchange) checkSequence(event eventstream.Event, resumed bool) error {
 	last, err := strconv.ParseInt(x.lastEventID, 10, 64)
 	if err != nil {
 		return nil
 	}
 	n, err := event.NumericID()
 	if err != nil {
+		if resumed && !event.CommentOnly {
+			return errForeignEvent
+		}
 		return nil
 	}
 	if n <= last {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -246,7 +246,7 @@
 		Version: 1,
 		Routes: []catkinspindle.Route{
 			route("/once/", catkinspindle.RetryNever, false, 1), route("/once-of-three/", catkinspindle.RetryNever, false, 3), route("/any/", catkinspindle.RetryAlways, false, 2),
-			route("/stream/", catkinspindle.RetryResume, true, 2), open, brief, patient,
+			route("/stream/", catkinspindle.RetryResume, true, 2), route("/stream-of-three/", catkinspindle.RetryResume, true, 3), open, brief, patient,
 			quick(route("/quick/", catkinspindle.RetryResume, true, 2)), short(route("/short-once/", catkinspindle.RetryNever, false, 1)), short(route("/short/", catkinspindle.RetryResume, true, 2)), quick(route("/quick-any/", catkinspindle.RetryAlways, false, 2)),
 		},
 		Services:      []catkinspindle.ReplicaService{{Name: "s"}},
@@ -869,6 +869,49 @@
 	}
 }
 
+// A replica that answers a resumed stream with something else must leave neither bytes nor an end
+// in the stream of the caller, and does not keep another replica from going on with it.
+func TestFailedResumptionDoesNotReachTheStream(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	tests := map[string]scriptedAnswer{
+		"error":                  errorAnswer,
+		"error of the caller":    {status: 404, body: "no such stream"},
+		"plain text":             {status: 200, body: "overloaded"},
+		"text in two lines":      {status: 200, body: "overloaded\n\n"},
+		"event without an ID":    {status: 200, body: "data: overloaded\n\n"},
+		"ID that is no number":   {status: 200, body: "id: x\ndata: overloaded\n\n"},
+		"error within an event":  {status: 200, body: "id: 2\nHTTP/1.1 500 Internal Server Error\n"},
+		"truncated error":        {status: 500, body: "oo", broken: true},
+		"connection that closes": {err: errAfterSend},
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			broken := scriptedAnswer{status: 200, body: first, broken: true}
+			for _, tt := range []struct {
+				path, want string
+				steps      []scriptedAnswer
+				aborted    bool
+			}{
+				{"/stream/", first, []scriptedAnswer{broken, answer}, true},
+				{"/stream-of-three/", first + second, []scriptedAnswer{broken, answer, {status: 200, body: second}}, false},
+			} {
+				_, server := newServer(t, &fakeCluster{steps: tt.steps}, 9, true)
+				resp, body, err := post(t, server, tt.path, "k", "")
+				server.Close()
+				if resp == nil {
+					t.Fatal(err)
+				}
+				if (err != nil) != tt.aborted {
+					t.Errorf("%s: error %v, want an aborted connection: %t", tt.path, err, tt.aborted)
+				}
+				if diff := cmp.Diff(tt.want, body); diff != "" {
+					t.Errorf("%s: stream (-want +got):\n%s", tt.path, diff)
+				}
+			}
+		})
+	}
+}
+
 // When the caller disconnects, the attempt is cancelled and no other replica is tried.
 func TestCallerDisconnects(t *testing.T) {
 	w := &fakeCluster{steps: []scriptedAnswer{{status: 200, body: "id: 1\ndata: a\n\n", silent: true}, okAnswer}, cancelled: make(chan struct{})}
