Let replicas of the fault soak crash under some requests

A crashed replica refuses connections, through its proxy too, and starts again as a new incarnation. The soak judges the rule for nodes that were subject to no fault in the last 3 s.

--- a/fleet/quarantine_test.go
+++ b/fleet/quarantine_test.go
@@ -362,3 +362,49 @@
 		}
 	})
 }
+
+// slowLoad sends one request with the part "dead" a second for d, and returns the number that
+// reached replicas.
+func (f *servingFleet) slowLoad(d time.Duration) int {
+	before := len(f.crashing.arrivals)
+	for n := range int(d.Seconds()) {
+		time.Sleep(time.Second)
+		f.sendWith(n%len(f.nodes), 1_000_000+n, "/chat/x", 900, http.Header{"Prefix-Hash": {fmt.Sprintf("shared1:40,dead:400,late%d:460", n)}})
+	}
+	return len(f.crashing.arrivals) - before
+}
+
+func TestTrialsOfHeldRequestsAreCountedOverAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServingFleet(t, 6)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		f.crashing.deadly = hasPart("dead")
+		f.crashLoad(crashCases["prompt part"], 60, 4*time.Second, 0, func() {})
+		if n := f.slowLoad(20 * time.Second); n != 0 {
+			t.Errorf("%d requests reached replicas before the first trial, want none", n)
+		}
+		f.restart(0) // The coordinator.
+		if n := f.slowLoad(8 * time.Minute); n > maxLateArrivals {
+			t.Errorf("%d requests reached replicas in 8 minutes, want at most %d", n, maxLateArrivals)
+		}
+	})
+}
+
+func TestHoldEndsWithTrialOnceRequestsAreHarmless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServingFleet(t, 6)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		f.crashing.deadly = hasPart("dead")
+		f.crashLoad(crashCases["prompt part"], 60, 4*time.Second, 0, func() {})
+		f.crashing.deadly = func(catkinspindle.Envelope) bool { return false }
+		f.slowLoad(40 * time.Second)
+		for i := range f.nodes {
+			resp := f.sendWith(i, 2_000_000+i, "/chat/x", 900, http.Header{"Prefix-Hash": {"shared1:40,dead:400,last:460"}})
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("node %d answers with status %d after the trial, want 200", i, resp.StatusCode)
+			}
+		}
+	})
+}
--- a/gatewaynode/crash_test.go
+++ b/gatewaynode/crash_test.go
@@ -110,7 +110,7 @@
 func (l crashLoad) check(t *testing.T, crash int) {
 	t.Helper()
 	sent, answered := l.run(9 * time.Second)
-	if err := l.site.CheckDeadly(crash); err != nil {
+	if err := l.site.CheckDeadly(crash, func(string, time.Time) bool { return true }); err != nil {
 		t.Error(err)
 	}
 	if answered < sent/2 {
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/catkinspindle/catkinspindle/platform/standin/replica"
 	"github.com/catkinspindle/catkinspindle/platform/standin/site"
 )
 
@@ -48,11 +49,54 @@
 	mu       sync.Mutex
 	answers  []answer
 	inFlight map[string]answer
+	// deadly is the kind of requests that crash replicas.
+	deadly deadlyKind
+}
+
+// deadlyKind is a kind of requests that crash the replicas that run them.
+type deadlyKind struct {
+	method, path string
+	tokens       int
+	// parts are the parts of the prompt.
+	parts string
+	// crash is the number of the crash from which such requests must be held.
+	crash int
+}
+
+var deadlyKinds = []deadlyKind{
+	{http.MethodPost, "/chat/x", 900, "shared:40,dead:300,own:560", 5},
+	{http.MethodPost, "/chat/deadly", 900, "", 3},
+	{http.MethodGet, "/read/deadly", 0, "", 3},
+	{http.MethodPost, "/act/deadly", 0, "", 3},
+}
+
+// deadlyShare is one in how many requests is deadly.
+const deadlyShare = 25
+
+func (c *callers) isDeadly(req *http.Request, body []byte) bool {
+	return replica.DeadlyPart("dead")(req, body) || strings.HasSuffix(req.URL.Path, "/deadly")
+}
+
+// nodes returns the node that each answered request was sent to, by request ID.
+func (c *callers) nodes() map[string]*process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	byName := map[string]*process{}
+	for _, n := range c.fleet.nodes {
+		byName[n.name] = n
+	}
+	all := map[string]*process{}
+	for _, a := range c.answers {
+		all[a.id] = byName[a.node]
+	}
+	return all
 }
 
 // run sends requests, one at a time, until ctx is done. Each caller has its own connections.
 func (c *callers) run(ctx context.Context, caller int, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(caller)))
+	// Deadly requests have their own sequence, so that the others do not depend on them.
+	deadlyRNG := rand.New(rand.NewPCG(seed, 1000+uint64(caller)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
@@ -67,7 +111,11 @@
 		case 2:
 			method, path, tokens = http.MethodGet, fmt.Sprintf("/since-%d/", 1+rng.IntN(20)), 0
 		}
-		c.send(client, node, id, method, path, tokens)
+		c.send(client, node, id, method, path, tokens, "")
+		if deadlyRNG.IntN(deadlyShare) == 0 {
+			d := c.deadly
+			c.send(client, node, "deadly-"+id, d.method, d.path, d.tokens, d.parts)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(rng.IntN(30)) * time.Millisecond):
@@ -75,12 +123,12 @@
 	}
 }
 
-func (c *callers) send(client *http.Client, node *process, id, method, path string, tokens int) {
+func (c *callers) send(client *http.Client, node *process, id, method, path string, tokens int, parts string) {
 	a := answer{id: id, path: path, node: node.name, incarnation: node.incarnation.Load(), startedAt: time.Now()}
 	c.mu.Lock()
 	c.inFlight[id] = a
 	c.mu.Unlock()
-	a.status, a.body, a.cut = c.exchange(client, node.callersProxy.address(), id, method, path, tokens)
+	a.status, a.body, a.cut = c.exchange(client, node.callersProxy.address(), id, method, path, tokens, parts)
 	a.took = time.Since(a.startedAt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,7 +163,7 @@
 	return cut
 }
 
-func (c *callers) exchange(client *http.Client, address, id, method, path string, tokens int) (status int, body string, cut bool) {
+func (c *callers) exchange(client *http.Client, address, id, method, path string, tokens int, parts string) (status int, body string, cut bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), stuckTimeout)
 	defer cancel()
 	req, err := site.Request(ctx, address, id, method, path, site.Key, tokens, deadline)
@@ -123,6 +171,9 @@
 		c.fleet.t.Error(err)
 		return 0, "", true
 	}
+	if parts != "" {
+		req.Header.Set("Prefix-Hash", parts)
+	}
 	status, body, err = site.Do(client, req)
 	return status, body, err != nil
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -46,6 +47,36 @@
 	incarnation atomic.Int64
 	// faultLock is held while a fault is applied to the process.
 	faultLock sync.Mutex
+	// disturbances are the intervals in which the process was subject to a fault.
+	disturbanceLock sync.Mutex
+	disturbances    []interval
+}
+
+type interval struct{ from, to time.Time }
+
+// disturb records that the process is subject to a fault while f runs.
+func (n *process) disturb(f func()) {
+	from := time.Now()
+	n.disturbanceLock.Lock()
+	i := len(n.disturbances)
+	n.disturbances = append(n.disturbances, interval{from, from.Add(time.Hour)})
+	n.disturbanceLock.Unlock()
+	f()
+	n.disturbanceLock.Lock()
+	defer n.disturbanceLock.Unlock()
+	n.disturbances[i].to = time.Now()
+}
+
+// inTouch reports whether the process was subject to no fault in the time d before at.
+func (n *process) inTouch(at time.Time, d time.Duration) bool {
+	n.disturbanceLock.Lock()
+	defer n.disturbanceLock.Unlock()
+	for _, i := range n.disturbances {
+		if i.from.Before(at) && at.Sub(i.to) < d {
+			return false
+		}
+	}
+	return true
 }
 
 // fleet is a set of node processes and a stand-in for the platform in the test process.
@@ -61,7 +92,7 @@
 func newFleet(t *testing.T, program, dir string) *fleet {
 	f := &fleet{t: t, program: program, dir: dir}
 	var err error
-	f.site, err = site.Start(context.Background(), 0, slog.New(slog.DiscardHandler), site.WithReplicasThrough(f.startReplicaProxy))
+	f.site, err = site.Start(context.Background(), 0, slog.New(slog.DiscardHandler), site.WithReplicasThrough(f.startReplicaProxy), site.WithOnCrash(f.replicaCrashed))
 	if f.site != nil {
 		t.Cleanup(func() {
 			for _, p := range f.replicaProxies {
@@ -92,6 +123,21 @@
 	return p.address(), nil
 }
 
+// replicaCrashed makes the proxy of a crashed replica refuse connections until it is up again.
+func (f *fleet) replicaCrashed(id string, up bool) {
+	kind, number, _ := strings.Cut(id, "-")
+	i, err := strconv.Atoi(number)
+	if err == nil {
+		if kind == "app" {
+			i += len(f.site.Pool)
+		}
+		err = f.replicaProxies[i].setUp(up)
+	}
+	if err != nil {
+		f.t.Errorf("proxy of replica %s: %v", id, err)
+	}
+}
+
 // Ports of nodes lie below the ephemeral range of the kernel, so that no outgoing connection
 // takes the port of a node while it restarts. Each test process starts at a different port,
 // because several may run at the same time.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -45,6 +45,9 @@
 	mu    sync.Mutex
 	fault fault
 	conns map[net.Conn]bool
+	// listening is closed when the listener of a proxy whose target is down is open again.
+	listening chan struct{}
+	closed    bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -84,9 +87,36 @@
 	clear(p.conns)
 }
 
+// setUp makes the proxy refuse connections while its target is down.
+func (p *proxy) setUp(up bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || up == (p.listening == nil) {
+		return nil
+	}
+	if !up {
+		p.listening = make(chan struct{})
+		p.resetConns()
+		return p.listener.Close()
+	}
+	l, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	close(p.listening)
+	p.listening = nil
+	return nil
+}
+
 func (p *proxy) close() error {
-	err := p.listener.Close()
 	p.mu.Lock()
+	p.closed = true
+	err := p.listener.Close()
+	if p.listening != nil {
+		close(p.listening)
+		p.listening = nil
+	}
 	p.resetConns()
 	p.mu.Unlock()
 	_ = p.group.Wait() // The only error is that of the closed listener.
@@ -95,7 +125,17 @@
 
 func (p *proxy) accept() error {
 	for {
-		client, err := p.listener.Accept()
+		p.mu.Lock()
+		l, listening, closed := p.listener, p.listening, p.closed
+		p.mu.Unlock()
+		if listening != nil {
+			<-listening
+			continue
+		}
+		client, err := l.Accept()
+		if err != nil && !closed {
+			continue // The target is down, or the proxy is being closed.
+		}
 		if err != nil {
 			return err
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,13 @@
 // a backup; below it, the history of the store is compacted.
 const restoreThreshold = 50
 
+const (
+	// replicaDowntime is how long a crashed replica is down.
+	replicaDowntime = 700 * time.Millisecond
+	// inTouchTime is the time after a fault from which the requests of a node count again.
+	inTouchTime = 3 * time.Second
+)
+
 // callerCount is the number of concurrent callers; each has at most one request in flight.
 const callerCount = 12
 
@@ -88,7 +95,7 @@
 	if t.Failed() {
 		return
 	}
-	s := &schedule{fleet: f, callers: &callers{fleet: f, inFlight: map[string]answer{}}, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1))}
+	s := &schedule{fleet: f, callers: &callers{fleet: f, inFlight: map[string]answer{}, deadly: deadlyKinds[seed%uint64(len(deadlyKinds))]}, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1))}
 	s.addRoute()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -99,6 +106,7 @@
 			return nil
 		})
 	}
+	s.site.SetDeadly(s.callers.isDeadly, replicaDowntime)
 	for _, r := range s.limitedReplicas() {
 		r.SetRateLimit(rateLimits[s.limitRNG.IntN(len(rateLimits))])
 	}
@@ -113,10 +121,10 @@
 	cancel()
 	_ = callerGroup.Wait() // Callers record their errors as answers.
 	s.checkRecovery()
-	if err := s.callers.violations(); err != nil {
+	if err := errors.Join(s.callers.violations(), s.checkDeadly()); err != nil {
 		t.Error(err)
 	}
-	t.Logf("%d requests, versions up to %d", len(s.callers.answers), len(s.routes))
+	t.Logf("%d requests, versions up to %d, %d crashes of replicas", len(s.callers.answers), len(s.routes), s.site.Crashes())
 }
 
 // faultDuration draws the duration of a fault: at least 100 ms and less than limit.
@@ -141,6 +149,10 @@
 		s.injectNodeFault(node, func() { s.signal(node, syscall.SIGHUP) }, 0, func() {})
 	case 4:
 		s.injectNetworkFault(node.storeProxy, kind, duration)
+		s.group.Go(func() error {
+			node.disturb(func() { time.Sleep(duration) })
+			return nil
+		})
 	case 5:
 		s.injectNetworkFault(node.callersProxy, kind, duration)
 	case 6:
@@ -170,9 +182,11 @@
 	}
 	s.group.Go(func() error {
 		defer n.faultLock.Unlock()
-		do()
-		time.Sleep(duration)
-		undo()
+		n.disturb(func() {
+			do()
+			time.Sleep(duration)
+			undo()
+		})
 		return nil
 	})
 }
@@ -273,7 +287,7 @@
 	time.Sleep(deadline / 2)
 	for _, n := range s.nodes[:2] {
 		waiting := s.callers.inFlightAt(n.name)
-		s.stop(n)
+		n.disturb(func() { s.stop(n) })
 		s.eventually("requests in flight at "+n.name+" have ended", func() error {
 			if remaining := s.callers.inFlightAt(n.name); len(remaining) > 0 {
 				for _, id := range remaining {
@@ -293,6 +307,16 @@
 	}
 }
 
+// checkDeadly checks that few deadly requests reached replicas from nodes that were subject to no
+// fault, long after the crash from which they must be held.
+func (s *schedule) checkDeadly() error {
+	nodes := s.callers.nodes()
+	return s.site.CheckDeadly(s.callers.deadly.crash, func(id string, at time.Time) bool {
+		n := nodes[id]
+		return n != nil && n.inTouch(at, inTouchTime)
+	})
+}
+
 // checkRecovery checks that every node serves all routes again and that no reservation is
 // leaked.
 func (s *schedule) checkRecovery() {
@@ -304,7 +328,7 @@
 			s.eventually(n.name+" serves "+path, func() error {
 				attempts++
 				method := map[bool]string{true: http.MethodPost, false: http.MethodGet}[i == 0]
-				status, _, cut := s.callers.exchange(client, n.callersProxy.address(), fmt.Sprintf("end-%s-%d-%d", n.name, i, attempts), method, path, 900*(1-i))
+				status, _, cut := s.callers.exchange(client, n.callersProxy.address(), fmt.Sprintf("end-%s-%d-%d", n.name, i, attempts), method, path, 900*(1-i), "")
 				if status != http.StatusOK || cut {
 					return fmt.Errorf("status %d, cut: %t", status, cut)
 				}
