Name the decisions of the quarantine in usual terms

verdict means something else in this project (whether a request may have run), and judge, convict and explain were private words: updateHolds, holdTime and attributed. No behaviour changes.

--- a/quarantine/verdict.go
+++ b/quarantine/holds.go
@@ -9,38 +9,39 @@
 	"github.com/catkinspindle/catkinspindle"
 )
 
-// candidate is a suspect with the crashes that no held key explains.
+// candidate is a suspect with the times of its crashes that are not attributed to a held key.
 type candidate struct {
 	key   catkinspindle.RequestKey
 	depth int
 	times []time.Time
 }
 
-// judge holds the keys that the crashes convict, the one with most crashes first, because the
-// crashes that it explains do not count against the others. While several have the same number,
-// further crashes decide between them, and from decisiveCrashes on the most specific one is held.
-func (t *Table) judge(now time.Time) {
+// updateHolds holds the suspects with enough crashes, the one with most of them first, because its
+// crashes are attributed to it and do not count against the others. While several have the same
+// number, further crashes decide between them, and from decisiveCrashes on the most specific one is
+// held.
+func (t *Table) updateHolds(now time.Time) {
 	t.prune(now)
 	for {
-		var ripe []candidate
-		t.nextVerdict = time.Time{}
+		var due []candidate
+		t.nextUpdate = time.Time{}
 		for _, c := range t.candidates() {
-			at, ok := t.verdictTime(c)
+			at, ok := t.holdTime(c)
 			switch {
 			case !ok:
 			case !now.Before(at):
-				ripe = append(ripe, c)
-			case t.nextVerdict.IsZero() || at.Before(t.nextVerdict):
-				t.nextVerdict = at
+				due = append(due, c)
+			case t.nextUpdate.IsZero() || at.Before(t.nextUpdate):
+				t.nextUpdate = at
 			}
 		}
-		if len(ripe) == 0 {
+		if len(due) == 0 {
 			return
 		}
-		worst := slices.MaxFunc(ripe, func(a, b candidate) int {
+		worst := slices.MaxFunc(due, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(len(a.times), len(b.times)), cmp.Compare(a.depth, b.depth), bytes.Compare(a.key[:], b.key[:]))
 		})
-		if len(worst.times) < decisiveCrashes && slices.ContainsFunc(ripe, func(c candidate) bool {
+		if len(worst.times) < decisiveCrashes && slices.ContainsFunc(due, func(c candidate) bool {
 			return c.key != worst.key && len(c.times) == len(worst.times)
 		}) {
 			return
@@ -50,11 +51,11 @@
 	}
 }
 
-// judgeIfDue judges the suspects if one of them may be held by now. It comes before further
-// crashes are added, which would count together with those that decide.
-func (t *Table) judgeIfDue(now time.Time) {
-	if !t.nextVerdict.IsZero() && !now.Before(t.nextVerdict) {
-		t.judge(now)
+// updateHoldsIfDue calls updateHolds if a suspect may be held by now. It must be called before
+// further crashes are added, so that only the earlier ones decide.
+func (t *Table) updateHoldsIfDue(now time.Time) {
+	if !t.nextUpdate.IsZero() && !now.Before(t.nextUpdate) {
+		t.updateHolds(now)
 	}
 }
 
@@ -70,11 +71,11 @@
 	t.changed = make(chan struct{})
 }
 
-// candidates returns the suspects of the crashes that no held key explains.
+// candidates returns the suspects of the crashes that are not attributed to a held key.
 func (t *Table) candidates() []candidate {
 	found := map[catkinspindle.RequestKey]candidate{}
 	for _, c := range t.crashes {
-		if t.explained(c) {
+		if t.attributed(c) {
 			continue
 		}
 		for k, s := range c.suspects {
@@ -93,7 +94,7 @@
 	return list
 }
 
-func (t *Table) explained(c *crash) bool {
+func (t *Table) attributed(c *crash) bool {
 	for k := range c.suspects {
 		if _, held := t.holds[k]; held {
 			return true
@@ -102,9 +103,9 @@
 	return false
 }
 
-// verdictTime returns the time from which a candidate is held. ok is false if there are too few
+// holdTime returns the time from which a candidate is held. ok is false if there are too few
 // crashes.
-func (t *Table) verdictTime(c candidate) (at time.Time, ok bool) {
+func (t *Table) holdTime(c candidate) (at time.Time, ok bool) {
 	slices.SortFunc(c.times, time.Time.Compare)
 	needed, earliest := minCrashes, time.Time{}
 	if last, begun := t.lastBegun(c.key); begun && last.After(c.times[0].Add(-recentWindow)) {
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -70,13 +70,13 @@
 	for _, h := range r.Holds {
 		t.applyHold(now, h)
 	}
-	t.judgeIfDue(now)
+	t.updateHoldsIfDue(now)
 	news := false
 	for _, c := range r.Crashes {
 		news = t.addCrash(now.Add(-c.Age), incarnation{c.Replica, c.Incarnation}, c.Suspects, false) || news
 	}
 	if news {
-		t.judge(now)
+		t.updateHolds(now)
 	}
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -98,8 +98,8 @@
 	// counts has the number of crashes by suspect.
 	counts  map[catkinspindle.RequestKey]int
 	history *history
-	// nextVerdict is the time at which a suspect may be held, zero if there is none.
-	nextVerdict time.Time
+	// nextUpdate is the time at which a suspect may be held, zero if there is none.
+	nextUpdate time.Time
 	// changed is closed when a key is held.
 	changed chan struct{}
 }
@@ -161,13 +161,13 @@
 func (t *Table) Crashed(now, at time.Time, r catkinspindle.Replica, keys []catkinspindle.RequestKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.judgeIfDue(now)
+	t.updateHoldsIfDue(now)
 	suspects := make([]catkinspindle.Suspect, len(keys))
 	for i, k := range keys {
 		suspects[i] = catkinspindle.Suspect{Key: k, Depth: i}
 	}
 	if t.addCrash(at, incarnation{r.ID, r.Incarnation}, suspects, true) {
-		t.judge(now)
+		t.updateHolds(now)
 		t.onLocal()
 	}
 }
@@ -268,7 +268,7 @@
 	if h, ok := t.holds[k]; ok && at.After(h.firstCrash) {
 		delete(t.holds, k)
 		t.onHold(k, false)
-		t.judge(now)
+		t.updateHolds(now)
 		if direct {
 			t.onLocal()
 		}
@@ -285,7 +285,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.judgeIfDue(now)
+	t.updateHoldsIfDue(now)
 	for _, k := range keys {
 		h, ok := t.holds[k]
 		if !ok {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -122,14 +122,14 @@
 	}
 }
 
-// convict makes three replicas crash under a part, the last one at 200 ms.
-func convict(t *quarantine.Table, part string) {
+// holdPart makes three replicas crash under a part, the last one at 200 ms.
+func holdPart(t *quarantine.Table, part string) {
 	play(t, []event{{0, 1, []string{part}}, {100, 2, []string{part}}, {200, 3, []string{part}}})
 }
 
 func TestAnswerThatBeginsEndsHold(t *testing.T) {
 	table := quarantine.New()
-	convict(table, "dead")
+	holdPart(table, "dead")
 	if got := held(table, 1000, "dead"); len(got) != 1 {
 		t.Fatal("the part is not held")
 	}
@@ -142,7 +142,7 @@
 
 func TestTrialsOfHeldPartAreFewAndFarBetween(t *testing.T) {
 	table := quarantine.New()
-	convict(table, "dead")
+	holdPart(table, "dead")
 	key := keys("dead")[0]
 	var granted []int
 	for s := range 2 * 3600 {
@@ -160,10 +160,10 @@
 
 func TestHoldEndsOnceItsRequestsNoLongerCome(t *testing.T) {
 	table := quarantine.New()
-	convict(table, "dead")
+	holdPart(table, "dead")
 	held(table, 1000, "dead")
-	convictLater := []event{{3700_000, 8, []string{"other"}}}
-	play(table, convictLater)
+	later := []event{{3700_000, 8, []string{"other"}}}
+	play(table, later)
 	if got := held(table, 3700_000, "dead"); len(got) != 0 {
 		t.Error("the part is still held after an hour without a request")
 	}
@@ -192,7 +192,7 @@
 
 func TestNodeThatJoinsLearnsHoldsAndTrials(t *testing.T) {
 	hub := quarantine.New()
-	convict(hub, "dead")
+	holdPart(hub, "dead")
 	held(hub, 1000, "dead")
 	hub.GrantTrial(at(40_000), keys("dead")[0])
 	joined := quarantine.New()
@@ -205,12 +205,11 @@
 	}
 }
 
-// A node whose caller's answer has begun ends the hold of the others, also if it had no part in
-// the verdict.
+// A node at which an answer has begun ends the hold of the others, also if it has seen no crash.
 func TestBegunAnswerOfOneNodeEndsHoldOfOthers(t *testing.T) {
 	hub, node := quarantine.New(), quarantine.New()
 	node.Begun(at(150), keys("dead"))
-	convict(hub, "dead")
+	holdPart(hub, "dead")
 	held(hub, 1000, "dead")
 	exchange(1000, hub, node, false)
 	exchange(1010, node, hub, true)
