Judge holds on the stand-in without regard to the machine's speed

They now wait until each of the five nodes refuses deadly requests and then allow none to reach a replica, which is stricter than three; sound requests must be answered. The soak does the same: once every node refuses such requests, at most three reach replicas from nodes without a later fault.

--- a/gatewaynode/crash_test.go
+++ b/gatewaynode/crash_test.go
@@ -6,116 +6,106 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/catkinspindle/catkinspindle/platform/standin/replica"
 	"github.com/catkinspindle/catkinspindle/platform/standin/site"
 )
 
-// crashLoad sends sound and deadly requests to all nodes in turn.
-type crashLoad struct {
-	site  *site.Site
-	nodes int
-	// sound and deadly send one request and return its status.
-	sound, deadly func(node, n int) int
-}
-
 const (
-	soundPerSecond  = 50
-	deadlyPerSecond = 6
 	// crashDowntime is how long a crashed replica is down.
-	crashDowntime = 1500 * time.Millisecond
-	// soundAnsweredAfter is the time after the start of a load from which sound requests must be
-	// answered.
-	soundAnsweredAfter = 6 * time.Second
+	crashDowntime = 500 * time.Millisecond
+	// callerTimeout is the time that the callers have.
+	callerTimeout = 5 * time.Second
+	// heldRounds is how often each node gets a deadly request once all of them hold such requests.
+	heldRounds = 4
 )
 
-// send sends a request of a caller and returns its status, zero if the answer was cut off.
-// tokens is zero for requests to the plain service, parts is empty for requests without a prompt.
-func (l crashLoad) send(node int, id, target, body string, tokens int, parts string) int {
-	req, err := site.Request(context.Background(), l.site.CallersAddress(node), id, http.MethodPost, target, site.Key, tokens, callerTimeout)
+// crashCallers sends sound and deadly requests to the nodes of a site.
+type crashCallers struct {
+	site  *site.Site
+	nodes int
+	sent  int
+	// target and tokens are those of all requests; tokens is zero for the plain service.
+	target string
+	tokens int
+	// soundBody and soundParts return the body and the prompt parts of sound request n,
+	// deadlyBody and deadlyParts those of deadly ones.
+	soundBody, soundParts, deadlyBody, deadlyParts func(n int) string
+}
+
+// send sends one request and returns its status, zero if the answer was cut off, and its body.
+func (c *crashCallers) send(node int, deadly bool) (status int, answer string) {
+	c.sent++
+	body, parts := c.soundBody(c.sent), c.soundParts(c.sent)
+	if deadly {
+		body, parts = c.deadlyBody(c.sent), c.deadlyParts(c.sent)
+	}
+	req, err := site.Request(context.Background(), c.site.CallersAddress(node), fmt.Sprintf("r%d", c.sent), http.MethodPost, c.target, site.Key, c.tokens, callerTimeout)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	if parts != "" {
 		req.Header.Set("Prefix-Hash", parts)
 	}
-	status, _, err := site.Do(http.DefaultClient, req)
+	status, answer, err = site.Do(http.DefaultClient, req)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
-	return status
+	return status, answer
 }
 
-// run sends requests for d. It returns the numbers of sound requests that were sent and
-// answered with status 200 from soundAnsweredAfter on.
-func (l crashLoad) run(d time.Duration) (sent, answered int64) {
-	var (
-		group errgroup.Group
-		count atomic.Int64
-	)
-	ticker := time.NewTicker(time.Second / (soundPerSecond + deadlyPerSecond))
-	defer ticker.Stop()
-	begin := time.Now()
-	for n := 0; time.Since(begin) < d; n++ {
-		<-ticker.C
-		node := n % l.nodes
-		if n%(soundPerSecond/deadlyPerSecond+1) == 0 && l.deadly != nil {
-			group.Go(func() error {
-				l.deadly(node, n)
-				return nil
-			})
-			continue
-		}
-		counts := time.Since(begin) > soundAnsweredAfter
-		if counts {
-			sent++
-		}
-		group.Go(func() error {
-			if l.sound(node, n) == http.StatusOK && counts {
-				count.Add(1)
+// isHeld sends a deadly request to a node and reports whether it is refused because replicas
+// crash under it.
+func (c *crashCallers) isHeld(node int) bool {
+	status, answer := c.send(node, true)
+	return status == http.StatusServiceUnavailable && strings.Contains(answer, "quarantined (not-run)")
+}
+
+// check checks that all nodes come to hold deadly requests, that none reaches a replica from then
+// on, and that sound requests are answered.
+func (c *crashCallers) check(t *testing.T) {
+	t.Helper()
+	for node := range c.nodes {
+		await(t, fmt.Sprintf("node %d holds deadly requests", node), func() bool {
+			c.send(node, false)
+			return c.isHeld(node)
+		})
+	}
+	reached := len(c.site.DeadlyArrivals())
+	for range heldRounds {
+		for node := range c.nodes {
+			if !c.isHeld(node) {
+				t.Errorf("node %d no longer holds deadly requests", node)
 			}
-			return nil
+		}
+	}
+	for node := range c.nodes {
+		await(t, fmt.Sprintf("node %d serves sound requests", node), func() bool {
+			status, _ := c.send(node, false)
+			return status == http.StatusOK
 		})
 	}
-	_ = group.Wait() // The functions return no errors.
-	return sent, count.Load()
+	if got := len(c.site.DeadlyArrivals()) - reached; got > 0 {
+		t.Errorf("%d deadly requests reached replicas after all nodes held them", got)
+	}
+	t.Logf("%d crashes, %d deadly requests reached replicas", c.site.Crashes(), reached)
 }
 
-// callerTimeout is the time that the callers of crashLoad have.
-const callerTimeout = 5 * time.Second
+func always(text string) func(int) string { return func(int) string { return text } }
 
 func TestPromptPartDoesNotCrashReplicaAfterReplica(t *testing.T) {
 	const nodes = 5
 	s := start(t, nodes)
 	s.SetDeadly(replica.DeadlyPart("dead"), crashDowntime)
-	l := crashLoad{site: s, nodes: nodes}
-	l.sound = func(node, n int) int {
-		return l.send(node, fmt.Sprintf("sound-%d", n), "/chat/x", "prompt", 900, fmt.Sprintf("shared:40,own%d:860", n))
-	}
-	l.deadly = func(node, n int) int {
-		return l.send(node, fmt.Sprintf("deadly-%d", n), "/chat/x", "prompt", 900, fmt.Sprintf("shared:40,dead:400,own%d:460", n))
+	c := &crashCallers{
+		site: s, nodes: nodes, target: "/chat/x", tokens: 900, soundBody: always("prompt"), deadlyBody: always("prompt"),
+		soundParts:  func(n int) string { return fmt.Sprintf("shared:40,own%d:860", n) },
+		deadlyParts: func(n int) string { return fmt.Sprintf("shared:40,dead:400,own%d:460", n) },
 	}
-	l.check(t, 5)
-}
-
-// check runs the load and checks that few deadly requests reach replicas later than 3 s after
-// the crash with the given number, and that sound requests are answered.
-func (l crashLoad) check(t *testing.T, crash int) {
-	t.Helper()
-	sent, answered := l.run(9 * time.Second)
-	if err := l.site.CheckDeadly(crash, func(string, time.Time) bool { return true }); err != nil {
-		t.Error(err)
-	}
-	if answered < sent/2 {
-		t.Errorf("%d of %d sound requests were answered, want at least half", answered, sent)
-	}
-	t.Logf("%d crashes, %d of %d sound requests answered", l.site.Crashes(), answered, sent)
+	c.check(t)
 }
 
 func TestRepeatedRequestDoesNotCrashReplicaAfterReplica(t *testing.T) {
@@ -133,14 +123,12 @@
 		t.Run(name, func(t *testing.T) {
 			s := start(t, nodes)
 			s.SetDeadly(replica.DeadlyRequest(tt.target, "deadly"), crashDowntime)
-			l := crashLoad{site: s, nodes: nodes}
-			l.sound = func(node, n int) int {
-				return l.send(node, fmt.Sprintf("sound-%d", n), tt.target, fmt.Sprintf("sound %d", n), tt.tokens, tt.parts)
-			}
-			l.deadly = func(node, n int) int {
-				return l.send(node, fmt.Sprintf("deadly-%d", n), tt.target, "deadly", tt.tokens, tt.parts)
+			c := &crashCallers{
+				site: s, nodes: nodes, target: tt.target, tokens: tt.tokens, deadlyBody: always("deadly"),
+				soundBody:  func(n int) string { return fmt.Sprintf("sound %d", n) },
+				soundParts: always(tt.parts), deadlyParts: always(tt.parts),
 			}
-			l.check(t, 3)
+			c.check(t)
 		})
 	}
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -47,36 +47,24 @@
 	incarnation atomic.Int64
 	// faultLock is held while a fault is applied to the process.
 	faultLock sync.Mutex
-	// disturbances are the intervals in which the process was subject to a fault.
+	// disturbedUntil is when the process was last subject to a fault.
 	disturbanceLock sync.Mutex
-	disturbances    []interval
+	disturbedUntil  time.Time
 }
 
-type interval struct{ from, to time.Time }
-
 // disturb records that the process is subject to a fault while f runs.
 func (n *process) disturb(f func()) {
-	from := time.Now()
-	n.disturbanceLock.Lock()
-	i := len(n.disturbances)
-	n.disturbances = append(n.disturbances, interval{from, from.Add(time.Hour)})
-	n.disturbanceLock.Unlock()
 	f()
 	n.disturbanceLock.Lock()
 	defer n.disturbanceLock.Unlock()
-	n.disturbances[i].to = time.Now()
+	n.disturbedUntil = time.Now()
 }
 
-// inTouch reports whether the process was subject to no fault in the time d before at.
-func (n *process) inTouch(at time.Time, d time.Duration) bool {
+// undisturbed reports whether the process has been subject to no fault since a time.
+func (n *process) undisturbed(since time.Time) bool {
 	n.disturbanceLock.Lock()
 	defer n.disturbanceLock.Unlock()
-	for _, i := range n.disturbances {
-		if i.from.Before(at) && at.Sub(i.to) < d {
-			return false
-		}
-	}
-	return true
+	return n.disturbedUntil.Before(since)
 }
 
 // fleet is a set of node processes and a stand-in for the platform in the test process.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -42,8 +43,9 @@
 const (
 	// replicaDowntime is how long a crashed replica is down.
 	replicaDowntime = 700 * time.Millisecond
-	// inTouchTime is the time after a fault from which the requests of a node count again.
-	inTouchTime = 3 * time.Second
+	// maxDeadlyArrivals is the number of deadly requests that may reach replicas after all nodes
+	// hold them.
+	maxDeadlyArrivals = 3
 )
 
 // callerCount is the number of concurrent callers; each has at most one request in flight.
@@ -117,11 +119,12 @@
 	}
 	_ = s.group.Wait() // The faults report their errors to the test.
 	s.clearFaults()
+	held := s.awaitHolds()
 	s.checkPlannedStops()
 	cancel()
 	_ = callerGroup.Wait() // Callers record their errors as answers.
 	s.checkRecovery()
-	if err := errors.Join(s.callers.violations(), s.checkDeadly()); err != nil {
+	if err := errors.Join(s.callers.violations(), s.checkDeadly(held)); err != nil {
 		t.Error(err)
 	}
 	t.Logf("%d requests, versions up to %d, %d crashes of replicas", len(s.callers.answers), len(s.routes), s.site.Crashes())
@@ -307,14 +310,42 @@
 	}
 }
 
-// checkDeadly checks that few deadly requests reached replicas from nodes that were subject to no
-// fault, long after the crash from which they must be held.
-func (s *schedule) checkDeadly() error {
+// awaitHolds waits until each node refuses deadly requests, if enough replicas have crashed, and
+// returns the time from which such requests must not reach replicas.
+func (s *schedule) awaitHolds() time.Time {
+	if s.site.Crashes() < s.callers.deadly.crash {
+		return time.Now().Add(time.Hour)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, n := range s.nodes {
+		attempts := 0
+		s.eventually(n.name+" holds deadly requests", func() error {
+			attempts++
+			d := s.callers.deadly
+			status, body, _ := s.callers.exchange(client, n.callersProxy.address(), fmt.Sprintf("held-%s-%d", n.name, attempts), d.method, d.path, d.tokens, d.parts)
+			if status != http.StatusServiceUnavailable || !strings.Contains(body, "quarantined") {
+				return fmt.Errorf("status %d, body %q", status, body)
+			}
+			return nil
+		})
+	}
+	return time.Now()
+}
+
+// checkDeadly checks that few deadly requests reached replicas after the given time, from nodes
+// that were not restarted.
+func (s *schedule) checkDeadly(from time.Time) error {
 	nodes := s.callers.nodes()
-	return s.site.CheckDeadly(s.callers.deadly.crash, func(id string, at time.Time) bool {
-		n := nodes[id]
-		return n != nil && n.inTouch(at, inTouchTime)
-	})
+	reached := 0
+	for _, a := range s.site.DeadlyArrivals() {
+		if n := nodes[a.ID]; n != nil && a.At.After(from) && n.undisturbed(from) {
+			reached++
+		}
+	}
+	if reached > maxDeadlyArrivals {
+		return fmt.Errorf("%d deadly requests reached replicas after all nodes held them, allowed %d", reached, maxDeadlyArrivals)
+	}
+	return nil
 }
 
 // checkRecovery checks that every node serves all routes again and that no reservation is
