--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -86,6 +86,9 @@
 	alreadyWaited time.Duration
 	// expectedFirstEvent is the placer's estimate of the time to the first event.
 	expectedFirstEvent time.Duration
+	// expectedWait and slowdown are the parts of expectedFirstEvent of a long prompt.
+	expectedWait time.Duration
+	slowdown     float64
 	// firstEventLimit is the maximum expected time to the first event that admission accepted or
 	// would have accepted; check is the admission check that refused the request.
 	firstEventLimit time.Duration
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -166,6 +166,7 @@
 
 func (x *exchange) recordPlacement(p catkinspindle.Placement) {
 	x.placedBy, x.expectedFirstEvent, x.helperCount, x.delay = p.PlacedBy, p.ExpectedFirstEvent, len(p.Helpers), p.Delay
+	x.expectedWait, x.slowdown = p.ExpectedWait, p.Slowdown
 	x.firstEventLimit, x.check = p.FirstEventLimit, p.Check
 }
 
--- a/placement.go
+++ b/placement.go
@@ -77,6 +77,10 @@
 	Reason Reason `cbor:"7,keyasint,omitempty"`
 	// Check is the check that failed when the job was refused for overload.
 	Check Check `cbor:"11,keyasint,omitempty"`
+	// ExpectedWait is the part of ExpectedFirstEvent before the prefill of a long prompt begins;
+	// Slowdown is the factor by which the slowest of its replicas extends the prefill.
+	ExpectedWait time.Duration `cbor:"14,keyasint,omitempty"`
+	Slowdown     float64       `cbor:"15,keyasint,omitempty"`
 	// FirstEventLimit is the highest estimated time to the first event at which the job is
 	// accepted.
 	FirstEventLimit time.Duration `cbor:"12,keyasint,omitempty"`
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -187,7 +187,16 @@
 	helpers     []*replica
 	segmentTime time.Duration
 	start       time.Time
-	firstEvent  time.Duration
+	// firstEvent is the expected time to the first event: wait, then the prefill, which the
+	// slowest replica extends by slowdown.
+	firstEvent, wait time.Duration
+	slowdown         float64
+}
+
+// describe returns placed with the estimates of g.
+func (g prefillGroup) describe(placed catkinspindle.Placement) catkinspindle.Placement {
+	placed.ExpectedWait, placed.Slowdown = g.wait, g.slowdown
+	return placed
 }
 
 // placeLong splits the prefill of a prompt between several replicas and schedules one
@@ -206,7 +215,7 @@
 	idle := best.segmentTime + iterationTime(m, best.host)*3/2 + p.policy.IdleWait
 	limit := min(j.TimeLeft, max(admissionLimit, idle))
 	if check, ok := p.failedCheck(m, best, j, limit); !ok {
-		return refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.firstEvent), best.firstEvent).WithCheck(check, limit)
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.firstEvent), best.firstEvent).WithCheck(check, limit))
 	}
 	a := &activeJob{job: j, replica: best.host, helpers: best.helpers, placedAt: now, sendAt: best.start.Add(-p.policy.Lead), firstEvent: best.firstEvent, segmentTime: best.segmentTime}
 	if best.segmentTime <= p.policy.BypassSegment {
@@ -215,13 +224,13 @@
 		a.sendAt = now
 	}
 	if !p.fitsInMemory(m, best.host, j) && !p.reserveOnHelpers(a, m) {
-		return refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.firstEvent), best.firstEvent).WithCheck(catkinspindle.CheckMemory, limit)
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.firstEvent), best.firstEvent).WithCheck(catkinspindle.CheckMemory, limit))
 	}
 	demand.recordServed(caller, true)
 	a.caller = caller
 	placed := p.accept(now, a, urgencyLong)
 	placed.FirstEventLimit = limit
-	return placed
+	return best.describe(placed)
 }
 
 // failedCheck returns the check that j fails on g, or ok when it passes all.
@@ -347,6 +356,7 @@
 	if segmentTime <= p.policy.BypassSegment {
 		wait = min(wait, p.policy.BypassWait)
 	}
+	g.wait, g.slowdown = wait, slowdown
 	g.firstEvent = wait + time.Duration(float64(segmentTime)*slowdown) + iterationTime(m, host)*3/2
 	return g, true
 }
