--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -315,13 +316,22 @@
 	return runOn(loadReplicas, policy, seed, factor)
 }
 
+// disruption is something that happens at a time of a simulated day.
+type disruption struct {
+	at  time.Duration
+	run func()
+}
+
 // runOn simulates the load on the given number of replicas.
-func runOn(replicas int, policy placer, seed uint64, factor float64) []*caller {
+func runOn(replicas int, policy placer, seed uint64, factor float64, disruptions ...disruption) []*caller {
 	p := &simulation{policy: policy, engines: map[string]*engine{}}
 	for i := range replicas {
 		p.engines[fmt.Sprintf("r%02d", i)] = &engine{}
 	}
 	p.scheduleArrivals(seed, factor)
+	for _, d := range disruptions {
+		p.schedule(start.Add(d.at), d.run)
+	}
 	for len(p.events) > 0 {
 		e := heap.Pop(&p.events).(event)
 		p.now = e.at
@@ -457,6 +467,37 @@
 	checkSeeds(t, 3*loadReplicas, 3*2, 40)
 }
 
+// The same holds on days that begin with a burst of long prompts and lose a quarter of the replicas
+// in the second one.
+func TestLargestPromptsAreNotStarvedWhenReplicasLeaveInBurst(t *testing.T) {
+	withSmallBatches(t)
+	usual := bursts
+	t.Cleanup(func() { bursts = usual })
+	bursts = [2][3]float64{{0.36, 1.3, 2.8}, {2.4, 0.5, 0.05}}
+	const replicas = 3 * loadReplicas
+	for _, factor := range []float64{1.1, 1.2, 1.3} {
+		for seed := range uint64(60) {
+			t.Run(fmt.Sprintf("factor %.1f seed %d", factor, seed), func(t *testing.T) {
+				t.Parallel()
+				policy := planner(replicas)
+				leave := disruption{2*burstLength + time.Second, func() { policy.SetReplicas(withLeaving(replicaList(replicas), 4)) }}
+				checkSizes(t, "long", ofKind(runOn(replicas, policy, seed, 3*factor, leave), "long"))
+			})
+		}
+	}
+}
+
+// withLeaving returns list with every nth replica leaving.
+func withLeaving(list map[string]catkinspindle.Replica, n int) map[string]catkinspindle.Replica {
+	for i, id := range slices.Sorted(maps.Keys(list)) {
+		if r := list[id]; i%n == 0 {
+			r.Leaving = true
+			list[id] = r
+		}
+	}
+	return list
+}
+
 // checkSeeds runs checkSizes on the long prompts of each seed separately.
 func checkSeeds(t *testing.T, replicas int, factor float64, seeds uint64) {
 	t.Helper()
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -33,6 +33,12 @@
 func planner(replicas int, opts ...placement.Option) *placement.Planner {
 	p := placement.New(append([]placement.Option{placement.WithSeed(1)}, opts...)...)
 	p.SetServices([]catkinspindle.ReplicaService{{Name: service, Engine: &model}, {Name: "app"}})
+	p.SetReplicas(replicaList(replicas))
+	return p
+}
+
+// replicaList returns the given number of replicas of the service and three of another one.
+func replicaList(replicas int) map[string]catkinspindle.Replica {
 	list := map[string]catkinspindle.Replica{}
 	for i := range replicas {
 		r := catkinspindle.Replica{ID: fmt.Sprintf("r%02d", i), Service: service, Address: fmt.Sprintf("127.0.0.1:%d", i+1), Slots: model.Slots, Incarnation: 1}
@@ -42,8 +48,7 @@
 		r := catkinspindle.Replica{ID: fmt.Sprintf("a%d", i), Service: "app", Address: fmt.Sprintf("127.0.0.2:%d", i+1), Slots: 6, Incarnation: 1}
 		list[r.ID] = r
 	}
-	p.SetReplicas(list)
-	return p
+	return list
 }
 
 func short(id int) catkinspindle.Job {
