Place jobs again whose placement failed while there is time

The planner also counted such a request as a second caller when it had not been sent.

TestJobWhosePlacementFailedIsNotRefused fails without the change to the limit.

--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -37,6 +37,7 @@
 		TimeLeft:      x.deadline.Sub(now),
 		LatencyBudget: x.arrivedAt.Add(x.route.LatencyObjective - x.alreadyWaited).Sub(now),
 		CallerRetried: x.alreadyWaited > 0,
+		Replacement:   retry || x.unsent+x.unusable > 0,
 		MaxEventGap:   x.route.MaxEventGap,
 		Priority:      x.priority,
 		Avoid:         avoid,
--- a/placement.go
+++ b/placement.go
@@ -31,6 +31,9 @@
 	// CallerRetried is true when the caller is probably retrying after a refusal: its
 	// timeout is shorter than the initial timeout of callers of this route.
 	CallerRetried bool `cbor:"12,keyasint,omitempty"`
+	// Replacement is true when an earlier placement of the request was accepted and failed: its
+	// replica was unreachable, failed or could not be used.
+	Replacement bool `cbor:"14,keyasint,omitempty"`
 	// DataCentre is where the request entered.
 	DataCentre string `cbor:"11,keyasint"`
 	// Pool is the subset of the service's replicas that the job may be placed on.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -62,7 +62,7 @@
 	i, _ := slices.BinarySearchFunc(d.bySize, j.PromptTokens, comparePrompt)
 	for ; i < len(d.bySize) && d.bySize[i].prompt == j.PromptTokens; i++ {
 		known := d.bySize[i]
-		if j.MayBePartial || (j.CallerRetried && !known.retried && !known.served) {
+		if j.MayBePartial || j.Replacement || (j.CallerRetried && !known.retried && !known.served) {
 			known.retried = known.retried || j.CallerRetried
 			return known
 		}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -180,6 +180,26 @@
 	}
 }
 
+// A job whose placement failed is placed again although its LatencyBudget is used up.
+func TestJobWhosePlacementFailedIsNotRefused(t *testing.T) {
+	for name, j := range map[string]catkinspindle.Job{"short": short(100), "long": long(100, 250_000)} {
+		p := planner(21)
+		for i := range 4 {
+			p.Place(start, long(i, 250_000))
+		}
+		first := p.Place(start, j)
+		if first.Refused() {
+			t.Fatalf("%s: first placement refused: %s", name, first.Check)
+		}
+		p.ReportResult(start, catkinspindle.AttemptResult{JobID: j.ID, Replica: first.Replica, Outcome: catkinspindle.OutcomeUnreachable})
+		j.ID, j.Avoid, j.Replacement = "n/1/101", []string{first.Replica}, true
+		j.TimeLeft, j.LatencyBudget = j.TimeLeft-j.LatencyBudget, 0
+		if got := p.Place(start, j); got.Refused() {
+			t.Errorf("%s: refused after its placement failed: %s with %v expected, limit %v", name, got.Check, got.ExpectedFirstEvent, got.FirstEventLimit)
+		}
+	}
+}
+
 // While smaller prompts are admitted, some of the largest may miss their LatencyBudget, the first
 // after two refusals.
 func TestUnderservedSizeMayMissItsLatencyBudget(t *testing.T) {
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -175,7 +175,7 @@
 
 // shortLimit returns the longest time to the first event with which a short job is admitted.
 func (p *Planner) shortLimit(j catkinspindle.Job) time.Duration {
-	if j.CallerRetried {
+	if j.CallerRetried || j.Replacement {
 		return min(j.TimeLeft, p.policy.ReturnShort)
 	}
 	return min(j.TimeLeft, time.Duration(p.policy.LateFactor*float64(max(j.LatencyBudget, 0)))+p.policy.MinRetry)
@@ -253,7 +253,7 @@
 // room for the others.
 func (p *Planner) longLimit(m catkinspindle.EngineModel, j catkinspindle.Job, relativeService float64) time.Duration {
 	limit := p.regularLongLimit(m, j)
-	if relativeService > 1 {
+	if relativeService > 1 && !j.Replacement {
 		return time.Duration(float64(limit) / math.Pow(relativeService, p.policy.OverservedExponent))
 	}
 	lack := min(1, max(0, (1-relativeService)/(1-p.policy.UnderservedRatio)))
@@ -263,8 +263,12 @@
 
 // regularLongLimit returns the limit for a size that is served as often as others. A job that would miss
 // its LatencyBudget is refused while others can meet theirs; a retried job has waited already
-// and is admitted whenever there is time.
+// and is admitted whenever there is time, and one whose placement failed even later: it was
+// admitted once.
 func (p *Planner) regularLongLimit(m catkinspindle.EngineModel, j catkinspindle.Job) time.Duration {
+	if j.Replacement {
+		return time.Duration(p.policy.UnderservedLimitShare * float64(j.TimeLeft))
+	}
 	if j.CallerRetried {
 		grown := 2*float64(prefillTime(m, j.PromptTokens))/float64(p.policy.BigRead) - 1
 		share := p.policy.RetriedLimitShare + (p.policy.BigReturn-p.policy.RetriedLimitShare)*min(1, max(0, grown))
