Compare prompt sizes with the jobs that a new coordinator adopts

TestUnderservedSizeIsKnownToNewCoordinator fails without the change: all six large prompts are refused.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -379,6 +379,11 @@
 			}
 		}
 	}
+	if model := p.services[j.Service]; model != nil && p.isLong(*model, j) {
+		demand := p.demandOf(j)
+		a.caller = demand.findOrAdd(a.placedAt, j)
+		demand.recordServed(a.caller, true)
+	}
 	p.commit(now, a, 0)
 }
 
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -209,6 +209,26 @@
 			t.Fatalf("prompt %d of 100,000 tokens refused: %+v", i, got)
 		}
 	}
+	checkLargestAdmitted(t, p)
+	if got := p.Place(start, long(200, 90_000)); got.FirstEventLimit >= 3*time.Second {
+		t.Errorf("limit of a size that is not underserved is %v, want less than 3s", got.FirstEventLimit)
+	}
+}
+
+// A new coordinator compares sizes with the jobs that it has adopted.
+func TestUnderservedSizeIsKnownToNewCoordinator(t *testing.T) {
+	former, p := planner(21), planner(21)
+	for i := range 20 {
+		j := long(i, 100_000)
+		p.Adopt(start, j, former.Place(start, j), 0)
+	}
+	checkLargestAdmitted(t, p)
+}
+
+// checkLargestAdmitted checks that, of six prompts five times as large as those in flight, the
+// first is admitted after two refusals.
+func checkLargestAdmitted(t *testing.T, p *placement.Planner) {
+	t.Helper()
 	var refused []bool
 	for i := range 6 {
 		got := p.Place(start, long(100+i, 500_000+1000*i))
@@ -217,9 +237,6 @@
 	if diff := cmp.Diff([]bool{true, true, false, true, true, false}, refused); diff != "" {
 		t.Errorf("refusals (-want +got):\n%s", diff)
 	}
-	if got := p.Place(start, long(200, 90_000)); got.FirstEventLimit >= 3*time.Second {
-		t.Errorf("limit of a size that is not underserved is %v, want less than 3s", got.FirstEventLimit)
-	}
 }
 
 // Jobs that end release their slot, memory and prefill time: no load is left afterwards.
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -31,10 +31,15 @@
 )
 
 func (p *Planner) placePrompt(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
-	if j.MaxEventGap <= p.policy.ShortMaxGap && prefillTime(m, j.PromptTokens) <= p.policy.LongPrefill {
-		return p.placeShort(now, j, m, usable)
+	if p.isLong(m, j) {
+		return p.placeLong(now, j, m, usable)
 	}
-	return p.placeLong(now, j, m, usable)
+	return p.placeShort(now, j, m, usable)
+}
+
+// isLong reports whether j is placed as a long job.
+func (p *Planner) isLong(m catkinspindle.EngineModel, j catkinspindle.Job) bool {
+	return j.MaxEventGap > p.policy.ShortMaxGap || prefillTime(m, j.PromptTokens) > p.policy.LongPrefill
 }
 
 func (p *Planner) fitsInMemory(m catkinspindle.EngineModel, r *replica, j catkinspindle.Job) bool {
