--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -57,6 +57,8 @@
 	log      *slog.Logger
 	metrics  metrics.Registry
 	store    catkinspindle.ObjectStore
+	// direct connects to replicas over this node's own paths.
+	direct catkinspindle.Connector
 
 	self        catkinspindle.Node
 	view        *view.View
@@ -91,6 +93,9 @@
 // WithStore replaces the default client of the platform's store.
 func WithStore(s catkinspindle.ObjectStore) Option { return func(n *Node) { n.store = s } }
 
+// WithConnector replaces the default dialer of replicas.
+func WithConnector(c catkinspindle.Connector) Option { return func(n *Node) { n.direct = c } }
+
 // New returns a node that is not started.
 func New(s catkinspindle.GatewaySettings, log *slog.Logger, opts ...Option) *Node {
 	n := &Node{
@@ -106,6 +111,7 @@
 			Capacity:       s.CPUShare,
 		},
 		joined: make(chan struct{}),
+		direct: replicas.NewDialer(0),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -116,8 +122,8 @@
 	n.rateLimits = ratelimits.New()
 	n.quarantine = quarantine.New(quarantine.WithOnHold(n.holdChanged), quarantine.WithOnLocal(n.wakeFleet))
 	n.planner = placement.New(placement.WithRateLimits(n.rateLimits))
-	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics))
-	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving)), n.log)
+	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics), replicas.WithConnector(n.direct))
+	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving), platform.WithConnector(n.direct)), n.log)
 	n.retryBudget = retries.New(s.Retry, 1)
 	n.view = view.New(n.viewChanged, view.WithProbation(probationHeartbeats*s.ReplicaHeartbeat))
 	n.gateway = gateway.New(n.view, n, n.replicas, n.reserver, n.retryBudget,
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -50,9 +50,9 @@
 // Option configures a Client.
 type Option func(*Client)
 
-// WithDialTimeout sets the connect timeout.
-func WithDialTimeout(d time.Duration) Option {
-	return func(c *Client) { c.pool.dialer.Timeout = d }
+// WithConnector sets how connections are opened. The default is Dialer.
+func WithConnector(d catkinspindle.Connector) Option {
+	return func(c *Client) { c.pool.connector = d }
 }
 
 // WithMetrics counts new connections in r.
--- a/replicas/client_test.go
+++ b/replicas/client_test.go
@@ -245,8 +245,7 @@
 		releaseTime = 700 * time.Millisecond
 	)
 	s := newScriptedServer(t)
-	dialer := replicas.Dialer()
-	c, err := dialer.Dial("tcp", s.listener.Addr().String())
+	c, err := replicas.NewDialer(0).Connect(context.Background(), s.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -105,26 +105,37 @@
 
 // pool keeps idle connections by replica ID.
 type pool struct {
-	dialer net.Dialer
+	connector catkinspindle.Connector
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	maxIdle int
 }
 
-// Dialer returns the dialer for connections to replicas.
-func Dialer() net.Dialer {
-	return net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+// Dialer connects to replicas over TCP. It implements catkinspindle.Connector.
+type Dialer struct{ dialer net.Dialer }
+
+// NewDialer returns a Dialer with the given connect timeout, 300 ms if it is zero.
+func NewDialer(timeout time.Duration) Dialer {
+	if timeout <= 0 {
+		timeout = dialTimeout
 	}
+	return Dialer{net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}}
+}
+
+// Connect implements catkinspindle.Connector.
+func (d Dialer) Connect(ctx context.Context, address string) (net.Conn, error) {
+	return d.dialer.DialContext(ctx, "tcp", address)
 }
 
 func newPool() *pool {
 	return &pool{
-		dialer:  Dialer(),
-		idle:    map[string][]*conn{},
-		maxIdle: defaultMaxIdle,
+		connector: NewDialer(0),
+		idle:      map[string][]*conn{},
+		maxIdle:   defaultMaxIdle,
 	}
 }
 
@@ -160,7 +171,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, r catkinspindle.Replica) (*conn, error) {
-	n, err := p.dialer.DialContext(ctx, "tcp", r.Address)
+	n, err := p.connector.Connect(ctx, r.Address)
 	if err != nil {
 		return nil, err
 	}
