Connect to replicas through other nodes when a node's paths fail

What callers saw: nodes cut off from the replicas answered 1 of 198 requests (three dials of 300 ms, then 503), and others were refused there and elsewhere because sound replicas had been suspected.

Cause: what one observer saw was taken for the state of the thing observed, for all. A failed connection went into the coordinator's table as a fault of the replica, and nothing asked another node, though all of them were reachable.

Now a node that cannot connect within 60 ms, or is refused, asks another node for the connection (package relays): a byte stream over the nodes' own QUIC, one hop. All decisions stay with the node that the caller has reached. The package paths decides from the results which paths have failed; three in a row mean that all are lost, other nodes learn that with heartbeats and do not relay through it. Idle connections from before a loss are not reused. A replica counts as unreachable only when another node fails too, and reaches a third replica at that moment. Broken, stalled and unanswered attempts are probed the same way before they are put down to the replica, and a crash is recorded only if other nodes are refused as well: a cut by resets would have quarantined sound requests.

--- a/attempt.go
+++ b/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -40,6 +41,9 @@
 	LeaseDuration time.Duration
 }
 
+// ErrNoAnswer means that a replica did not answer an order, because of itself or of the path to it.
+var ErrNoAnswer = errors.New("no answer from the replica")
+
 // MemoryReserver reserves memory on replicas.
 type MemoryReserver interface {
 	// Reserve makes or renews a reservation. It fails when the memory is not
--- a/events/event.go
+++ b/events/event.go
@@ -22,6 +22,7 @@
 	NodeReloaded      Event = 1005
 	HubChanged        Event = 3003
 	NodeLost          Event = 3004
+	PathsChanged      Event = 3005
 	ReplicaChanged    Event = 4004
 	ReplicaFailed     Event = 4005
 	RateLimited       Event = 4006
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -258,6 +258,15 @@
 	f.members[f.self.Name].Leaving = true
 }
 
+// SetPathsLost tells the other nodes whether this one reaches no replica.
+func (f *Fleet) SetPathsLost(lost bool) {
+	f.mu.Lock()
+	f.self.PathsLost = lost
+	f.members[f.self.Name].PathsLost = lost
+	f.mu.Unlock()
+	f.Wake()
+}
+
 // SetRegistered replaces the registered nodes with list, which the store has returned.
 func (f *Fleet) SetRegistered(list []catkinspindle.Node) {
 	f.mu.Lock()
@@ -321,10 +330,10 @@
 		*existing = member{Node: n, lastHeartbeat: existing.lastHeartbeat, presumedAliveUntil: time.Now().Add(livenessTimeout)}
 		return
 	}
-	leaving := existing.Leaving || n.Leaving
+	leaving, pathsLost := existing.Leaving || n.Leaving, existing.PathsLost
 	revision := max(existing.RegistrationRevision, n.RegistrationRevision)
 	existing.Node = n
-	existing.Leaving, existing.RegistrationRevision = leaving, revision
+	existing.Leaving, existing.PathsLost, existing.RegistrationRevision = leaving, pathsLost, revision
 }
 
 // run sends heartbeats and starts or stops the watch on the store, until ctx ends.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -560,6 +560,36 @@
 	})
 }
 
+// Nodes learn which others reach no replica, also when these are hubs.
+func TestNodesWithoutPathsAreKnownToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startNodes(t, 7)
+		defer stopNodes(t, nodes)
+		check := func(want ...string) {
+			t.Helper()
+			time.Sleep(time.Second)
+			for _, n := range nodes {
+				var got []string
+				for _, l := range n.LiveNodes() {
+					if l.PathsLost {
+						got = append(got, l.Name)
+					}
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("nodes without paths for %s (-want +got):\n%s", n.self.Name, diff)
+				}
+			}
+		}
+		check()
+		for _, i := range []int{0, 1, 5} {
+			nodes[i].SetPathsLost(true)
+		}
+		check("n0", "n1", "n5")
+		nodes[0].SetPathsLost(false)
+		check("n1", "n5")
+	})
+}
+
 // A new node that reaches no other does not become the coordinator at once, since others
 // may place jobs on the same replicas. It watches the store.
 func TestIsolatedNodeStartsWithoutCoordinating(t *testing.T) {
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -217,6 +217,7 @@
 	f.updateMember(m.From)
 	if peer, ok := f.members[m.From.Name]; ok && m.From.Name != f.self.Name && m.From.Incarnation == peer.Incarnation {
 		peer.lastHeartbeat = time.Now()
+		peer.PathsLost = m.From.PathsLost
 		peer.cooldownUntil = time.Time{}
 		if m.WantsLive {
 			peer.followedAt = peer.lastHeartbeat
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -34,7 +34,7 @@
 	slices.SortFunc(nodes, func(a, b catkinspindle.Node) int { return cmp.Compare(a.Name, b.Name) })
 	h := xxhash.New()
 	for _, n := range nodes {
-		_, _ = fmt.Fprintln(h, n.Name, n.Incarnation, n.RegistrationRevision, n.Leaving) // Writes to a hash do not fail.
+		_, _ = fmt.Fprintln(h, n.Name, n.Incarnation, n.RegistrationRevision, n.Leaving, n.PathsLost) // Writes to a hash do not fail.
 	}
 	return liveList{nodes, h.Sum64()}
 }
--- a/fleet/quarantine_test.go
+++ b/fleet/quarantine_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,7 +17,7 @@
 )
 
 // crashingReplicas makes replicas crash under requests that it finds deadly. It implements
-// gateway.Sender and gateway.CrashDetector.
+// gateway.Sender and gateway.Prober.
 type crashingReplicas struct {
 	replicaSender
 	// deadly reports whether a request crashes the replica that begins to answer it.
@@ -102,9 +103,11 @@
 	return c.replicaSender.Send(ctx, e, a, fresh)
 }
 
-func (c *crashingReplicas) Refuses(_ context.Context, r catkinspindle.Replica) bool {
-	_, up := c.isUp(r.ID)
-	return !up
+func (c *crashingReplicas) Probe(_ context.Context, r catkinspindle.Replica) (relayed bool, err error) {
+	if _, up := c.isUp(r.ID); !up {
+		return false, &catkinspindle.ConnectFailure{Confirmed: true, Refused: true, Err: syscall.ECONNREFUSED}
+	}
+	return false, nil
 }
 
 // check checks that at most maxLateArrivals deadly requests reached replicas later than
--- a/fleet/rate_limits_test.go
+++ b/fleet/rate_limits_test.go
@@ -133,7 +133,7 @@
 	budget := retries.New(catkinspindle.RetryBudget{Window: 10 * time.Second, Min: 100}, 1)
 	n.gateway = gateway.New(v, n.coordinator, f.crashing, noReservations{}, budget,
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, log,
-		gateway.WithRateLimits(limits, n.coordinator.ReportRateLimit), gateway.WithQuarantine(n.quarantine, f.crashing, n.coordinator.AllowTrial))
+		gateway.WithRateLimits(limits, n.coordinator.ReportRateLimit), gateway.WithQuarantine(n.quarantine, n.coordinator.AllowTrial), gateway.WithProber(f.crashing))
 	f.nodes[i] = n
 	if err := errors.Join(n.coordinator.Start(context.Background()), n.Start(context.Background())); err != nil {
 		f.t.Error(err)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -19,9 +19,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
 		x.logFailedAttempt(p, "broken", err)
-		if len(body) == 0 {
-			x.suspectCrash(replica, err)
-		}
+		x.broke(replica, err, len(body) > 0)
 		return false, x.retrySent(ctx, result, p.Replica)
 	}
 	result.TimeToFirstEvent = time.Since(startedAt)
@@ -138,9 +136,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				x.logFailedAttempt(p, "stream broken after event "+x.lastEventID, err)
-				if received < harmlessEvents {
-					x.suspectCrash(replica, err)
-				}
+				x.broke(replica, err, received >= harmlessEvents)
 			}
 			if f := x.retrySent(ctx, result, p.Replica); f != nil {
 				return false, f
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -99,6 +99,8 @@
 	// last one.
 	longestEventGap time.Duration
 	lastEventAt     time.Time
+	// broken is set while an attempt ends whose connection broke.
+	broken *brokenAttempt
 	// attemptCount counts attempts; it makes the IDs of their reservations unique.
 	attemptCount int
 }
@@ -174,9 +176,10 @@
 	startedAt := time.Now()
 	result := catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp}
 	x.replica = p.Replica
+	report := x.report
 	defer func() {
 		result.Duration = time.Since(startedAt)
-		x.gateway.placer.ReportResult(result)
+		report(result)
 	}()
 	if _, ok := x.usableReplica(p.Replica); !ok {
 		// The coordinator's view differs: the replica is not yet in this node's list, or its
@@ -185,6 +188,7 @@
 	}
 	helpers, release, err := x.reserve(ctx, p)
 	if err != nil {
+		report = func(r catkinspindle.AttemptResult) { x.reportReservation(r, err) }
 		return false, x.handleReservationError(ctx, p, &result, err)
 	}
 	defer release()
@@ -258,14 +262,14 @@
 // handleSendError handles an attempt that ended without an answer.
 func (x *exchange) handleSendError(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, result *catkinspindle.AttemptResult, err error) *catkinspindle.Failure {
 	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
-		result.Outcome = catkinspindle.OutcomeUnreachable
-		x.logFailedAttempt(p, "unreachable", err)
+		result.Outcome, _ = connectOutcome(err)
+		x.logFailedAttempt(p, result.Outcome.String(), err)
 		return x.retryUnsent(ctx, result, p.Replica)
 	}
 	x.sent++
 	x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
 	x.logFailedAttempt(p, "broken", err)
-	x.suspectCrash(replica, err)
+	x.broke(replica, err, false)
 	return x.retrySent(ctx, result, p.Replica)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,13 +99,14 @@
 	rateLimits      *ratelimits.Table
 	// onRateLimit is called with a replica whose rate limit the placing node may not know.
 	onRateLimit func(catkinspindle.Replica)
-	// quarantine has the requests that crash replicas. group runs the probes of replicas that
-	// may have crashed, crashProbes shares a probe between the requests of one replica.
-	quarantine       *quarantine.Table
-	crashDetector    CrashDetector
-	allowTrial       func(context.Context, catkinspindle.RequestKey) bool
+	// quarantine has the requests that crash replicas.
+	quarantine *quarantine.Table
+	allowTrial func(context.Context, catkinspindle.RequestKey) bool
+	// group runs the probes of replicas whose connections broke, probes shares a probe between
+	// the requests of one replica.
+	prober           Prober
 	group            errgroup.Group
-	crashProbes      singleflight.Group
+	probes           singleflight.Group
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
 	refusing         atomic.Bool
@@ -140,14 +141,14 @@
 
 // New returns a Gateway.
 func New(v *view.View, p Placer, s Sender, m ReservationManager, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, quarantine: quarantine.New(), crashDetector: noDetector{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
 	for _, opt := range opts {
 		opt(g)
 	}
 	return g
 }
 
-// Wait waits until no replica is being probed for a crash.
+// Wait waits until no replica is being probed.
 func (g *Gateway) Wait() error { return g.group.Wait() }
 
 // InFlight returns the number of requests in flight.
--- /dev/null
+++ b/gateway/probe_test.go
@@ -0,0 +1,73 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/gateway"
+)
+
+// fixedProber is a Prober that always has the same result.
+type fixedProber struct {
+	relayed bool
+	err     error
+}
+
+func (p fixedProber) Probe(context.Context, catkinspindle.Replica) (bool, error) {
+	return p.relayed, p.err
+}
+
+func TestBrokenPathsAreNotPutDownToReplicas(t *testing.T) {
+	connectFailure := func(confirmed bool) error {
+		return &catkinspindle.ConnectFailure{Confirmed: confirmed, Err: errors.New("no connection")}
+	}
+	unreachable := func(confirmed bool) scriptedAnswer {
+		return scriptedAnswer{err: catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "%w", connectFailure(confirmed))}
+	}
+	broken := scriptedAnswer{status: 200, body: "par", broken: true}
+	tests := map[string]struct {
+		step   scriptedAnswer
+		prober fixedProber
+		want   catkinspindle.Outcome
+	}{
+		"broken, replica accepts connections":  {broken, fixedProber{}, catkinspindle.OutcomeFailed},
+		"broken, only another node connects":   {broken, fixedProber{relayed: true}, catkinspindle.OutcomeNoPath},
+		"broken, no node connects":             {broken, fixedProber{err: connectFailure(true)}, catkinspindle.OutcomeUnreachable},
+		"broken, nothing known of other nodes": {broken, fixedProber{err: connectFailure(false)}, catkinspindle.OutcomeNoPath},
+		"no answer, only another node":         {scriptedAnswer{err: errAfterSend}, fixedProber{relayed: true}, catkinspindle.OutcomeNoPath},
+		"unreachable for all":                  {unreachable(true), fixedProber{}, catkinspindle.OutcomeUnreachable},
+		"unreachable for this node":            {unreachable(false), fixedProber{}, catkinspindle.OutcomeNoPath},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &fakeCluster{steps: []scriptedAnswer{tt.step, okAnswer}}
+			g := newGateway(w, w, 9, true, gateway.WithProber(tt.prober))
+			req := httptest.NewRequest(http.MethodPost, "/any/x", strings.NewReader("body"))
+			req.RequestURI, req.Host = "/any/x", "h.example"
+			req.Header.Set("Attempt-Id", "a")
+			req.Header.Set("Authorization", "Bearer k")
+			answer := httptest.NewRecorder()
+			g.ServeHTTP(answer, req)
+			if err := g.Wait(); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(http.StatusOK, answer.Code); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+			got := map[catkinspindle.Outcome]int{}
+			for _, o := range w.outcomes {
+				got[o]++
+			}
+			if diff := cmp.Diff(map[catkinspindle.Outcome]int{tt.want: 1, catkinspindle.OutcomeDone: 1}, got); diff != "" {
+				t.Errorf("outcomes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"syscall"
 	"time"
@@ -13,32 +12,16 @@
 	"github.com/catkinspindle/catkinspindle/quarantine"
 )
 
-const (
-	// crashProbeTimeout bounds the connection that tells a crashed replica from a reset
-	// connection.
-	crashProbeTimeout = 300 * time.Millisecond
-	// harmlessEvents is the number of events of one attempt from which the replica has
-	// survived the begin of its answer.
-	harmlessEvents = 2
-)
-
-// CrashDetector tells crashed replicas from broken connections.
-type CrashDetector interface {
-	// Refuses reports whether the replica refuses connections.
-	Refuses(ctx context.Context, r catkinspindle.Replica) bool
-}
+// harmlessEvents is the number of events of one attempt from which the replica has survived the
+// begin of its answer.
+const harmlessEvents = 2
 
 // WithQuarantine sets the table of the requests that crash replicas. trial reports whether a
 // request with a held key may be sent despite the hold, to see whether it still does harm.
-func WithQuarantine(t *quarantine.Table, d CrashDetector, trial func(context.Context, catkinspindle.RequestKey) bool) Option {
-	return func(g *Gateway) { g.quarantine, g.crashDetector, g.allowTrial = t, d, trial }
+func WithQuarantine(t *quarantine.Table, trial func(context.Context, catkinspindle.RequestKey) bool) Option {
+	return func(g *Gateway) { g.quarantine, g.allowTrial = t, trial }
 }
 
-// noDetector detects no crashes.
-type noDetector struct{}
-
-func (noDetector) Refuses(context.Context, catkinspindle.Replica) bool { return false }
-
 // requestKeys returns the keys under which crashes of replicas are recorded, from the one that
 // most requests share to the most specific one.
 func (x *exchange) requestKeys() []catkinspindle.RequestKey {
@@ -74,31 +57,20 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// suspectCrash records the keys of the request as suspects if its attempt at r has failed with
-// err because r has crashed.
-func (x *exchange) suspectCrash(r catkinspindle.Replica, err error) {
-	g, keys, id, parts := x.gateway, x.keys, x.envelope.ID, x.envelope.SharedParts
-	if !connectionBroke(err) {
+// recordCrash records the keys of the request as suspects if r, whose connection broke at that
+// time, has crashed.
+func (x *exchange) recordCrash(at time.Time, r catkinspindle.Replica, p probeResult) {
+	g := x.gateway
+	if !g.hasCrashed(r, p) {
 		return
 	}
-	at := time.Now()
-	g.group.Go(func() error {
-		if g.hasCrashed(r) {
-			g.log.Info("replica crashed under a request", events.ReplicaCrashed.Attr(), "request", id, "replica", r.ID, "born", r.Incarnation, "parts", parts, "key", keys[len(keys)-1].String())
-			g.quarantine.Crashed(time.Now(), at, r, keys)
-		}
-		return nil
-	})
+	g.log.Info("replica crashed under a request", events.ReplicaCrashed.Attr(), "request", x.envelope.ID, "replica", r.ID, "born", r.Incarnation, "parts", x.envelope.SharedParts, "key", x.keys[len(x.keys)-1].String())
+	g.quarantine.Crashed(time.Now(), at, r, x.keys)
 }
 
 // hasCrashed reports whether r, whose connection broke, has crashed: it has a later incarnation,
-// or refuses connections without having announced that it leaves.
-func (g *Gateway) hasCrashed(r catkinspindle.Replica) bool {
-	refuses, _, _ := g.crashProbes.Do(fmt.Sprintf("%s/%d", r.ID, r.Incarnation), func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-		defer cancel()
-		return g.crashDetector.Refuses(ctx, r), nil
-	})
+// or refuses connections, also those of another node, without having announced that it leaves.
+func (g *Gateway) hasCrashed(r catkinspindle.Replica, p probeResult) bool {
 	listed, ok := g.view.State().Replicas[r.ID]
 	switch {
 	case !ok || (listed.SameIncarnation(r) && listed.Leaving):
@@ -106,5 +78,5 @@
 	case !listed.SameIncarnation(r):
 		return listed.Incarnation > r.Incarnation
 	}
-	return refuses.(bool)
+	return p.refused
 }
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -22,11 +22,13 @@
 	"github.com/catkinspindle/catkinspindle/fleet"
 	"github.com/catkinspindle/catkinspindle/gateway"
 	"github.com/catkinspindle/catkinspindle/keys"
+	"github.com/catkinspindle/catkinspindle/paths"
 	"github.com/catkinspindle/catkinspindle/peers"
 	"github.com/catkinspindle/catkinspindle/placement"
 	"github.com/catkinspindle/catkinspindle/platform"
 	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
+	"github.com/catkinspindle/catkinspindle/relays"
 	"github.com/catkinspindle/catkinspindle/replicas"
 	"github.com/catkinspindle/catkinspindle/reservations"
 	"github.com/catkinspindle/catkinspindle/retries"
@@ -57,8 +59,10 @@
 	log      *slog.Logger
 	metrics  metrics.Registry
 	store    catkinspindle.ObjectStore
-	// direct connects to replicas over this node's own paths.
+	// direct connects to replicas over this node's own paths, relays over other nodes as well.
 	direct catkinspindle.Connector
+	relays *relays.Connector
+	paths  *paths.Table
 
 	self        catkinspindle.Node
 	view        *view.View
@@ -122,15 +126,17 @@
 	n.rateLimits = ratelimits.New()
 	n.quarantine = quarantine.New(quarantine.WithOnHold(n.holdChanged), quarantine.WithOnLocal(n.wakeFleet))
 	n.planner = placement.New(placement.WithRateLimits(n.rateLimits))
-	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics), replicas.WithConnector(n.direct))
-	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving), platform.WithConnector(n.direct)), n.log)
+	n.paths = paths.New(paths.WithOnLost(n.pathsChanged))
+	n.relays = relays.New(n.direct, n.paths, n.log)
+	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics), replicas.WithConnector(n.relays), replicas.WithIdleCheck(n.paths.MayReuse))
+	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving), platform.WithConnector(n.relays)), n.log)
 	n.retryBudget = retries.New(s.Retry, 1)
 	n.view = view.New(n.viewChanged, view.WithProbation(probationHeartbeats*s.ReplicaHeartbeat))
 	n.gateway = gateway.New(n.view, n, n.replicas, n.reserver, n.retryBudget,
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithConfigExpected(func() bool { return !n.storeFailing.Load() }),
 		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits, n.reportRateLimit),
-		gateway.WithQuarantine(n.quarantine, n.replicas, n.allowTrial),
+		gateway.WithQuarantine(n.quarantine, n.allowTrial), gateway.WithProber(n.replicas),
 		gateway.WithMaxBodyBytes(int64(bodyMemoryShare*float64(s.MemoryMB)*(1<<20))))
 	maxAge := addressLifetime
 	if s.MaxLifetime > 0 {
@@ -192,6 +198,7 @@
 		coordinator.WithRateLimits(n.rateLimits, n.fleet.RateAuthority),
 		coordinator.WithQuarantine(n.quarantine),
 		coordinator.WithDepartures(func(d catkinspindle.Departure) { n.view.AddDeparture(d, false) }))
+	n.relays.Join(n.self, n.transport, n.liveNodes)
 	// A previous process that is still shutting down may hold the address.
 	err = n.retry(ctx, "peer listener", func() error { return n.transport.Start(ctx) })
 	if err != nil {
@@ -326,6 +333,16 @@
 	n.planner.SetReplicas(s.Replicas)
 	n.rateLimits.Prune(time.Now(), s.Replicas)
 	n.replicas.Retain(s.Replicas)
+	n.relays.SetReplicas(s.Replicas)
+}
+
+// pathsChanged tells the other nodes that this one has lost all its paths to the replicas, or that
+// one works again.
+func (n *Node) pathsChanged(lost bool) {
+	n.log.Warn("paths to the replicas changed", events.PathsChanged.Attr(), "lost", lost)
+	if n.isJoined() {
+		n.fleet.SetPathsLost(lost)
+	}
 }
 
 // replicaLeaving records that a replica's response to a reservation order said that the
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -41,10 +41,10 @@
 	if n.isJoined() {
 		n.unregister(ctx)
 	}
-	n.waitUntil(ctx, startedAt.Add(time.Duration(drainShare*float64(grace))), func() bool { return n.gateway.InFlight() == 0 })
+	n.waitUntil(ctx, startedAt.Add(time.Duration(drainShare*float64(grace))), func() bool { return n.gateway.InFlight()+n.relays.Active() == 0 })
 	unfinished := n.gateway.InFlight()
 	var errs []error
-	errs = append(errs, n.listeners.Stop(ctx), n.gateway.Wait())
+	errs = append(errs, n.listeners.Stop(ctx), n.gateway.Wait(), n.relays.Wait())
 	n.cancel()
 	if n.isJoined() {
 		errs = append(errs, n.fleet.Stop(ctx), n.coordinator.Stop(ctx), n.transport.Stop(ctx))
--- a/objects.go
+++ b/objects.go
@@ -60,4 +60,7 @@
 	Leaving              bool  `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
 	// Capacity is the CPU of the VM in cores, by which VMs are compared.
 	Capacity float64 `json:"capacity" cbor:"8,keyasint"`
+	// PathsLost is true while the node reaches no replica, so that others do not connect through
+	// it.
+	PathsLost bool `json:"-" cbor:"9,keyasint,omitempty"`
 }
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -43,21 +43,25 @@
 	closeCode = 0
 )
 
-// Transport sends requests to peers and serves theirs. It implements catkinspindle.Peers
-// and catkinspindle.Service.
+// Transport sends requests to peers and serves theirs. It implements catkinspindle.Peers,
+// catkinspindle.Tunnels and catkinspindle.Service.
 type Transport struct {
 	listenAddress string
 	tlsConfig     *tls.Config
 	log           *slog.Logger
 	handlers      map[string]catkinspindle.PeerHandler
-	group         *errgroup.Group
-	socket        *net.UDPConn
-	quicTransport *quic.Transport
-	listener      *quic.Listener
-	cancel        context.CancelFunc
+	// tunnelHandlers has the handlers of tunnels by kind.
+	tunnelHandlers map[string]catkinspindle.TunnelHandler
+	group          *errgroup.Group
+	socket         *net.UDPConn
+	quicTransport  *quic.Transport
+	listener       *quic.Listener
+	cancel         context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[string]*quic.Conn
+	// tunnelConns has the connections for tunnels by address.
+	tunnelConns map[string]*tunnelConn
 }
 
 type request struct {
@@ -104,7 +108,10 @@
 		log:           log,
 		tlsConfig:     config,
 		handlers:      map[string]catkinspindle.PeerHandler{},
-		conns:         map[string]*quic.Conn{},
+
+		tunnelHandlers: map[string]catkinspindle.TunnelHandler{},
+		tunnelConns:    map[string]*tunnelConn{},
+		conns:          map[string]*quic.Conn{},
 	}
 }
 
@@ -151,6 +158,9 @@
 	for _, c := range t.conns {
 		_ = c.CloseWithError(closeCode, "stopping")
 	}
+	for _, c := range t.tunnelConns {
+		_ = c.CloseWithError(closeCode, "stopping")
+	}
 	t.mu.Unlock()
 	// Each serve sends its peer a connection close, which must happen before the socket closes.
 	return errors.Join(t.listener.Close(), t.group.Wait(), t.quicTransport.Close(), t.socket.Close())
@@ -178,13 +188,13 @@
 			return
 		}
 		t.group.Go(func() error {
-			t.handleStream(s)
+			t.handleStream(conn, s)
 			return nil
 		})
 	}
 }
 
-func (t *Transport) handleStream(s *quic.Stream) {
+func (t *Transport) handleStream(conn *quic.Conn, s *quic.Stream) {
 	defer func() { _ = s.Close() }()
 	var req request
 	if err := cbor.NewDecoder(io.LimitReader(s, maxMessageBytes)).Decode(&req); err != nil {
@@ -192,6 +202,10 @@
 		s.CancelRead(0)
 		return
 	}
+	if h, ok := t.tunnelHandlers[req.Kind]; ok {
+		t.serveTunnel(conn, s, req, h)
+		return
+	}
 	data, err := cbor.Marshal(t.dispatch(s.Context(), req))
 	if err != nil {
 		t.log.Warn("response to peer cannot be encoded", events.PeerMalformed.Attr(), "kind", req.Kind, "error", err)
@@ -205,12 +219,7 @@
 	if !ok {
 		return failureResponse(catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "no handler for %q", req.Kind))
 	}
-	v, err := h(ctx, func(v any) error {
-		if err := cbor.Unmarshal(req.Body, v); err != nil {
-			return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "message %q: %w", req.Kind, err)
-		}
-		return nil
-	})
+	v, err := h(ctx, decoder(req))
 	if err != nil {
 		return failureResponse(err)
 	}
@@ -221,6 +230,16 @@
 	return response{Body: body}
 }
 
+// decoder returns a function that decodes the body of req.
+func decoder(req request) func(any) error {
+	return func(v any) error {
+		if err := cbor.Unmarshal(req.Body, v); err != nil {
+			return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "message %q: %w", req.Kind, err)
+		}
+		return nil
+	}
+}
+
 func failureResponse(err error) response {
 	report := catkinspindle.AsFailure(err).Report()
 	return response{Failure: &report}
@@ -228,22 +247,13 @@
 
 // Call implements catkinspindle.Peers.
 func (t *Transport) Call(ctx context.Context, address, kind string, req, resp any) error {
-	body, err := cbor.Marshal(req)
+	data, err := encode(kind, req)
 	if err != nil {
-		return fmt.Errorf("peers: encode %q: %w", kind, err)
+		return err
 	}
-	data, err := cbor.Marshal(request{Kind: kind, Body: body})
+	conn, s, err := t.openStream(ctx, address)
 	if err != nil {
-		return fmt.Errorf("peers: encode %q: %w", kind, err)
-	}
-	conn, err := t.connect(ctx, address)
-	if err != nil {
-		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "peers: connect to %s: %w", address, err)
-	}
-	s, err := conn.OpenStreamSync(ctx)
-	if err != nil {
-		t.dropConnection(address, conn)
-		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "peers: call %s: %w", address, err)
+		return err
 	}
 	err = roundTrip(ctx, s, address, data, resp)
 	if err != nil && ctx.Err() != nil {
@@ -254,6 +264,20 @@
 	return err
 }
 
+// openStream opens a stream on the connection to address.
+func (t *Transport) openStream(ctx context.Context, address string) (*quic.Conn, *quic.Stream, error) {
+	conn, err := t.connect(ctx, address)
+	if err != nil {
+		return nil, nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "peers: connect to %s: %w", address, err)
+	}
+	s, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		t.dropConnection(address, conn)
+		return nil, nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "peers: call %s: %w", address, err)
+	}
+	return conn, s, nil
+}
+
 // dropConnection closes a connection on which a call failed and removes it from the pool.
 func (t *Transport) dropConnection(address string, conn *quic.Conn) {
 	t.mu.Lock()
--- a/placement.go
+++ b/placement.go
@@ -132,13 +132,15 @@
 	OutcomeGivenUp
 	// OutcomeRefused means that the replica did not execute the request.
 	OutcomeRefused
-	// OutcomeUnreachable means that no connection could be established.
+	// OutcomeUnreachable means that neither this node nor another one could connect.
 	OutcomeUnreachable
 	// OutcomeFailed is an error answer, or a stream that broke or stalled.
 	OutcomeFailed
+	// OutcomeNoPath means that this node's path failed, which says nothing about the replica.
+	OutcomeNoPath
 )
 
-var outcomeNames = [...]string{"done", "given-up", "refused", "unreachable", "failed"}
+var outcomeNames = [...]string{"done", "given-up", "refused", "unreachable", "failed", "no-path"}
 
 // String returns the outcome as it appears in logs.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -187,7 +187,7 @@
 	case catkinspindle.OutcomeDone:
 		r.health.recordSuccess()
 		r.updateAverages(e, a)
-	case catkinspindle.OutcomeGivenUp:
+	case catkinspindle.OutcomeGivenUp, catkinspindle.OutcomeNoPath:
 	case catkinspindle.OutcomeRefused:
 		r.health.recordRefusal(now)
 	case catkinspindle.OutcomeUnreachable:
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -60,6 +59,12 @@
 	return func(c *Client) { c.dials = metrics.GetOrRegisterCounter("replica-connections", r) }
 }
 
+// WithIdleCheck sets the function that decides whether an idle connection to a replica's address,
+// on which data last arrived at lastRead, may carry another request. Without it all may.
+func WithIdleCheck(f func(address string, lastRead time.Time) bool) Option {
+	return func(c *Client) { c.pool.mayReuse = f }
+}
+
 // New returns a Client that writes and reads headers with encode and decode.
 func New(encode Encoder, decode Decoder, opts ...Option) *Client {
 	c := &Client{pool: newPool(), encode: encode, decode: decode, group: &errgroup.Group{}, dials: metrics.NewCounter()}
@@ -129,7 +134,7 @@
 			conn:           conn,
 			pool:           c.pool,
 			requestWritten: requestWritten,
-			reusable:       !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0),
+			reusable:       !resp.Close && !conn.relayed() && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0),
 			idleTimeout:    head.KeepAlive,
 		}
 		return &catkinspindle.Answer{AnswerHead: head, Length: resp.ContentLength, Body: b}, nil
@@ -184,16 +189,20 @@
 	return nil, errors.New("too many 1xx responses")
 }
 
-// Refuses reports whether r refuses connections. A connection that it accepts is kept for the
-// next request.
-func (c *Client) Refuses(ctx context.Context, r catkinspindle.Replica) bool {
+// Probe connects to r. relayed is true if only another node could. A direct connection is kept for
+// the next request.
+func (c *Client) Probe(ctx context.Context, r catkinspindle.Replica) (relayed bool, err error) {
 	c.dials.Inc(1)
 	conn, err := c.pool.dial(ctx, r)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return false, err
+	}
+	if conn.relayed() {
+		conn.close()
+		return true, nil
 	}
 	c.pool.put(conn, 0)
-	return false
+	return false, nil
 }
 
 // Retain closes the idle connections to incarnations that are not in replicas or
--- a/replicas/client_test.go
+++ b/replicas/client_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
@@ -113,8 +114,8 @@
 	return string(body), err
 }
 
-func newClient() *replicas.Client {
-	return replicas.New(platform.EncodeAttempt, platform.DecodeAnswer)
+func newClient(opts ...replicas.Option) *replicas.Client {
+	return replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, opts...)
 }
 
 func TestAnswers(t *testing.T) {
@@ -273,6 +274,32 @@
 	}
 }
 
+// A connection that has been idle since its path failed may hang.
+func TestIdleConnectionOfAFailedPathIsNotReused(t *testing.T) {
+	for name, mayReuse := range map[string]bool{"path works": true, "path failed": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, rawResponse{okResponse("a", "first"), false}, rawResponse{okResponse("b", "second"), false})
+			registry := metrics.NewRegistry()
+			c := newClient(replicas.WithMetrics(registry), replicas.WithIdleCheck(func(address string, lastRead time.Time) bool {
+				if address != s.listener.Addr().String() || lastRead.IsZero() {
+					t.Errorf("check of %q, last read at %v", address, lastRead)
+				}
+				return mayReuse
+			}))
+			for _, id := range []string{"a", "b"} {
+				_, _ = send(t, c, s, http.MethodPost, id) // Only the connections matter.
+			}
+			want := int64(2)
+			if mayReuse {
+				want = 1
+			}
+			if diff := cmp.Diff(want, metrics.GetOrRegisterCounter("replica-connections", registry).Count()); diff != "" {
+				t.Errorf("connections (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A refusal states that a request was not run, so one that may be the repetition of an earlier
 // refusal must not end another request.
 func TestRepeatedRefusalOnAKeptConnectionIsNotTakenForTheNextAnswer(t *testing.T) {
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -56,6 +56,8 @@
 	once          sync.Once
 	// reused is true when the connection has carried an earlier request.
 	reused bool
+	// lastRead is when data last arrived.
+	lastRead time.Time
 }
 
 // Read implements io.Reader. It fails when the limit of setReadLimit is exceeded.
@@ -67,6 +69,9 @@
 		p = p[:c.readLimit]
 	}
 	n, err := c.net.Read(p)
+	if n > 0 {
+		c.lastRead = time.Now()
+	}
 	if c.readLimit != noLimit {
 		c.readLimit -= n
 	}
@@ -80,6 +85,13 @@
 	c.once.Do(func() { _ = c.net.Close() }) // An error has no consequence.
 }
 
+// relayed reports whether the connection goes through another node. Such a connection carries one
+// request only, so that the next one can use this node's own path again.
+func (c *conn) relayed() bool {
+	_, ok := c.net.(catkinspindle.Tunnel)
+	return ok
+}
+
 // isIdle reports whether the peer has neither sent data on the unused connection nor
 // closed it.
 func (c *conn) isIdle() bool {
@@ -106,6 +118,7 @@
 // pool keeps idle connections by replica ID.
 type pool struct {
 	connector catkinspindle.Connector
+	mayReuse  func(address string, lastRead time.Time) bool
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
@@ -134,6 +147,7 @@
 func newPool() *pool {
 	return &pool{
 		connector: NewDialer(0),
+		mayReuse:  func(string, time.Time) bool { return true },
 		idle:      map[string][]*conn{},
 		maxIdle:   defaultMaxIdle,
 	}
@@ -150,7 +164,7 @@
 		if c == nil {
 			return nil
 		}
-		if c.replica.SameIncarnation(r) && time.Now().Before(c.reusableUntil) && c.isIdle() {
+		if c.replica.SameIncarnation(r) && time.Now().Before(c.reusableUntil) && p.mayReuse(r.Address, c.lastRead) && c.isIdle() {
 			c.reused = true
 			return c
 		}
@@ -175,7 +189,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{net: n, replica: r, readLimit: noLimit}
+	c := &conn{net: n, replica: r, readLimit: noLimit, lastRead: time.Now()}
 	c.reader = bufio.NewReaderSize(c, 4<<10)
 	return c, nil
 }
