Answer the requests that outlast a planned stop

Report of another operator: requests that came late in the grace period were taken, passed on, and cut at its end without an answer, among them some that may not be repeated.

It happens here when answers take more than 0.545 of the grace period: a request was accepted for 0.375 of it and cut at 0.92, whatever it still needed.

A stopping node refuses requests whose answer is not expected in time, by the mean and deviation of the route's answers, and ends those in flight with a failure that tells whether they may have run.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -113,6 +113,9 @@
 	g.budget.CountRequest(now, x.service)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	defer context.AfterFunc(g.ended, func() { cancelCause(errNodeStopped) })()
 	x.lastEventID = x.envelope.AfterEvent
 	defer x.releaseFailover()
 	x.checkTrial(ctx)
@@ -151,14 +154,19 @@
 	}
 }
 
-// contextFailure returns a failure if the deadline has passed or the caller has
-// disconnected.
+var errNodeStopped = errors.New("the node stops")
+
+// contextFailure returns a failure if the deadline has passed, the caller has disconnected or
+// the node stops.
 func (x *exchange) contextFailure(ctx context.Context) *catkinspindle.Failure {
 	if ctx.Err() == nil {
 		return nil
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return x.fail(catkinspindle.ReasonDeadline, "deadline exceeded")
+	case errors.Is(context.Cause(ctx), errNodeStopped):
+		return x.fail(catkinspindle.ReasonStopping, "the node stopped before the answer was complete")
 	}
 	return x.fail(reasonCallerGone, "client disconnected")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,8 +110,14 @@
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
 	refusing         atomic.Bool
-	heldBodyBytes    atomic.Int64
-	maxBodyBytes     int64
+	// end is when the node ends all requests because it stops; nil while it does not. ended is
+	// done from then on.
+	end           atomic.Pointer[time.Time]
+	ended         context.Context
+	endRequests   context.CancelFunc
+	answerTimes   *answerTimes
+	heldBodyBytes atomic.Int64
+	maxBodyBytes  int64
 }
 
 // Option configures a Gateway.
@@ -141,7 +147,8 @@
 
 // New returns a Gateway.
 func New(v *view.View, p Placer, s Sender, m ReservationManager, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), answerTimes: newAnswerTimes(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
+	g.ended, g.endRequests = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -157,6 +164,14 @@
 // CloseConnections makes the gateway close each connection after its next answer.
 func (g *Gateway) CloseConnections() { g.closeConnections.Store(true) }
 
+// StopBy announces that all requests end at a time. New ones whose answers are not expected by then
+// are refused.
+func (g *Gateway) StopBy(end time.Time) { g.end.Store(&end) }
+
+// EndRequests ends the requests in flight. Their callers get a failure unless the answer has
+// begun.
+func (g *Gateway) EndRequests() { g.endRequests() }
+
 // RefuseRequests makes the gateway refuse new requests.
 func (g *Gateway) RefuseRequests() { g.refusing.Store(true) }
 
@@ -200,6 +215,9 @@
 	}
 	x.route = route
 	x.priority = route.Priority
+	if end := g.end.Load(); end != nil && x.arrivedAt.Add(g.answerTimes.expected(route.Name)).After(*end) {
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "this node is stopping before the answer would be complete").WithRetryAfter(stoppingRetryAfter)
+	}
 	if state.Table.RequiresKey(route) {
 		key, _ := g.codec.Key(r)
 		workspace, ok := state.Table.Workspace(key)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -48,6 +48,7 @@
 	}
 	metrics.GetOrRegisterCounter(name, m).Inc(1)
 	if f == nil {
+		x.gateway.answerTimes.record(x.route.Name, total)
 		metrics.GetOrRegisterTimer("request-time", m).Update(total)
 		metrics.GetOrRegisterTimer("first-event-time", m).Update(x.timeToFirstEvent)
 	}
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -20,14 +20,17 @@
 	drainShare = 0.92
 	// unregisterTimeout is the timeout for removing the registration.
 	unregisterTimeout = 300 * time.Millisecond
+	// answerTimeout is the time for the failures of requests that the drain has not ended.
+	answerTimeout = 100 * time.Millisecond
 	// drainPollInterval is the interval at which requests in flight are counted.
 	drainPollInterval = 50 * time.Millisecond
 )
 
 // Stop drains the node and stops it within the grace period. The node removes itself
 // from address responses, serves callers that have cached an older response, refuses
-// later requests, and waits for requests in flight to finish. Requests that outlast the
-// drain are aborted; their number is logged.
+// later requests and those that would take too long, and waits for requests in flight to finish.
+// Requests that outlast the drain get a failure, or are aborted if their answer has begun; their
+// number is logged.
 func (n *Node) Stop(ctx context.Context) error {
 	startedAt := time.Now()
 	grace := n.settings.Grace
@@ -35,14 +38,18 @@
 	if n.isJoined() {
 		n.fleet.Leave()
 	}
+	drainEnd := startedAt.Add(time.Duration(drainShare * float64(grace)))
 	n.gateway.CloseConnections()
+	n.gateway.StopBy(drainEnd)
 	n.waitUntil(ctx, startedAt.Add(time.Duration(acceptShare*float64(grace))), nil)
 	n.gateway.RefuseRequests()
 	if n.isJoined() {
 		n.unregister(ctx)
 	}
-	n.waitUntil(ctx, startedAt.Add(time.Duration(drainShare*float64(grace))), func() bool { return n.gateway.InFlight()+n.relays.Active() == 0 })
+	n.waitUntil(ctx, drainEnd, func() bool { return n.gateway.InFlight()+n.relays.Active() == 0 })
 	unfinished := n.gateway.InFlight()
+	n.gateway.EndRequests()
+	n.waitUntil(ctx, time.Now().Add(answerTimeout), func() bool { return n.gateway.InFlight() == 0 })
 	var errs []error
 	errs = append(errs, n.listeners.Stop(ctx), n.gateway.Wait(), n.relays.Wait())
 	n.cancel()
--- a/gatewaynode/stop_test.go
+++ b/gatewaynode/stop_test.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/gatewaynode"
 	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/platform/standin/replica"
 	"github.com/catkinspindle/catkinspindle/platform/standin/site"
 )
 
@@ -35,6 +41,72 @@
 	}
 }
 
+// Requests that arrive in a planned stop get an answer: a complete one, or a failure that says
+// whether they may have run.
+func TestRequestsOfAPlannedStopAreAnswered(t *testing.T) {
+	const (
+		grace      = 3 * time.Second
+		answerTime = 2500 * time.Millisecond
+	)
+	s := start(t, 2, site.WithGrace(grace))
+	for _, r := range append(s.Pool, s.App...) {
+		r.SetFaults(replica.Faults{ExtraPause: answerTime / site.Events, PlainPause: answerTime})
+	}
+	var (
+		mu         sync.Mutex
+		unanswered []string
+		statuses   = map[int]int{}
+		group      errgroup.Group
+	)
+	send := func(kind requestKind, n int) error {
+		// A new connection for each request: one that is kept may be closed before the next.
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		id := fmt.Sprintf("%s-%d", kind.target[1:4], n)
+		req, err := site.Request(context.Background(), s.CallersAddress(0), id, kind.method, kind.target, site.Key, kind.tokens, 9*time.Second)
+		if err != nil {
+			return err
+		}
+		status, _, err := site.Do(client, req)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err == nil:
+			statuses[status]++
+		case !errors.Is(err, syscall.ECONNREFUSED):
+			unanswered = append(unanswered, fmt.Sprintf("%s: status %d, %v", id, status, err))
+		}
+		return nil
+	}
+	sendAll := func(n int) {
+		for _, kind := range requestKinds {
+			group.Go(func() error { return send(kind, n) })
+		}
+	}
+	stopped := make(chan error, 1)
+	const beforeStop, all = 20, 60
+	for n := range all {
+		if n == beforeStop {
+			time.Sleep(answerTime)
+			group.Go(func() error {
+				stopped <- s.StopNode(context.Background(), 0)
+				return nil
+			})
+		}
+		sendAll(n)
+		time.Sleep(grace / (all - beforeStop))
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	t.Logf("answers by status: %v", statuses)
+	if len(unanswered) > 0 {
+		t.Errorf("%d requests got no complete answer, such as %s", len(unanswered), unanswered[0])
+	}
+}
+
 // freeAddress returns an address of ip with a port that is not in use.
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
