Test that an answer cut after any byte is not complete

Report of another operator: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

No code is changed.

--- a/engines/client_test.go
+++ b/engines/client_test.go
@@ -1,8 +1,11 @@
 package engines_test
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +13,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/engines"
@@ -94,3 +98,41 @@
 		})
 	}
 }
+
+// An answer of an engine that is cut after any byte of its head or chunks does not end.
+func TestAnswerCutAfterAnyByteDoesNotEnd(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"f\r\n{\"text\":\"one\"}\n\r\n" + "1a\r\n{\"text\":\"two\",\"end\":true}\n\r\n"
+	for cutAt := range len(answer) - len("\r\n") {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var group errgroup.Group
+		group.Go(func() error {
+			c, err := l.Accept()
+			if err != nil {
+				return nil // The test has ended.
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(c, answer[:cutAt])
+			}
+			return c.Close()
+		})
+		client := wire.NewClient(time.Second, wire.WithoutKeepAlive())
+		stream, err := engines.New(l.Addr().String(), client, client).Start(context.Background(), catkinspindle.StreamStart{})
+		ended := false
+		for err == nil {
+			var c catkinspindle.Chunk
+			c, err = stream.Next()
+			ended = ended || (err == nil && c.End)
+		}
+		if complete := cutAt >= strings.LastIndex(answer, "}")+1; ended != complete {
+			t.Errorf("cut after %d of %d bytes: ended %t, error %v", cutAt, len(answer), ended, err)
+		}
+		if err := errors.Join(l.Close(), group.Wait()); err != nil {
+			t.Error(err)
+		}
+	}
+}
