Connect the own interface's nodes through others as well

Its connections to engines and plain services, those of the homes included, now use package relays too.

demo.TestVMWithoutPathsServesItsCallers (three nodes over TCP, one cut silently, by resets, or for new connections): prompts failed with no-backend without the change, prompts and actions are answered with it.

--- a/backends/dialer.go
+++ b/backends/dialer.go
@@ -19,9 +19,11 @@
 	calls, control *wire.Client
 }
 
-// New returns a dialer whose clients give up connecting after dialTimeout.
-func New(dialTimeout time.Duration) *Dialer {
-	return &Dialer{calls: wire.NewClient(dialTimeout, wire.WithoutKeepAlive()), control: wire.NewClient(dialTimeout)}
+// New returns a dialer whose clients give up connecting after dialTimeout. opts apply to all of
+// them.
+func New(dialTimeout time.Duration, opts ...wire.Option) *Dialer {
+	calls := append([]wire.Option{wire.WithoutKeepAlive()}, opts...)
+	return &Dialer{calls: wire.NewClient(dialTimeout, calls...), control: wire.NewClient(dialTimeout, opts...)}
 }
 
 // Engine implements catkinspindle.Dialer.
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/catkinspindle/catkinspindle/entries"
 	"github.com/catkinspindle/catkinspindle/keys"
 	"github.com/catkinspindle/catkinspindle/node"
+	"github.com/catkinspindle/catkinspindle/replicas"
 	"github.com/catkinspindle/catkinspindle/settings"
 	"github.com/catkinspindle/catkinspindle/standin/engine"
 	"github.com/catkinspindle/catkinspindle/standin/plain"
@@ -51,19 +52,32 @@
 	Nodes    []*node.Node
 	URLs     []string
 
+	connector func(node int) catkinspindle.Connector
+
 	dir     string
 	servers []*http.Server
 	group   *errgroup.Group
 }
 
+// Option configures a Fleet.
+type Option func(*Fleet)
+
+// WithConnectors sets how each node connects to backend servers.
+func WithConnectors(f func(node int) catkinspindle.Connector) Option {
+	return func(l *Fleet) { l.connector = f }
+}
+
 // New starts a stand-in platform, engines, a plain service and nodes, and waits until the
 // fleet is ready.
-func New(ctx context.Context, log *slog.Logger) (*Fleet, error) {
+func New(ctx context.Context, log *slog.Logger, opts ...Option) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "catkinspindle-demo-")
 	if err != nil {
 		return nil, fmt.Errorf("demo: %w", err)
 	}
-	f := &Fleet{dir: dir, group: &errgroup.Group{}, Platform: platform.New(vmListDelay)}
+	f := &Fleet{dir: dir, group: &errgroup.Group{}, Platform: platform.New(vmListDelay), connector: func(int) catkinspindle.Connector { return replicas.NewDialer(0) }}
+	for _, opt := range opts {
+		opt(f)
+	}
 	if err := f.start(ctx, log); err != nil {
 		return nil, errors.Join(err, f.Close(ctx))
 	}
@@ -133,7 +147,7 @@
 		}
 		cfg.CallersURL = "http://" + cfg.Callers
 		cfg.PeerAddress = cfg.Peers
-		n, err := node.New(cfg, log)
+		n, err := node.New(cfg, log, node.WithConnector(f.connector(i)))
 		if err != nil {
 			return err
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -22,12 +22,15 @@
 	"github.com/catkinspindle/catkinspindle/kernel"
 	"github.com/catkinspindle/catkinspindle/limits"
 	"github.com/catkinspindle/catkinspindle/operators"
+	"github.com/catkinspindle/catkinspindle/paths"
 	"github.com/catkinspindle/catkinspindle/peers"
 	"github.com/catkinspindle/catkinspindle/permits"
 	"github.com/catkinspindle/catkinspindle/platform"
 	"github.com/catkinspindle/catkinspindle/poll"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/reconcile"
+	"github.com/catkinspindle/catkinspindle/relays"
+	"github.com/catkinspindle/catkinspindle/replicas"
 	"github.com/catkinspindle/catkinspindle/router"
 	"github.com/catkinspindle/catkinspindle/settings"
 	"github.com/catkinspindle/catkinspindle/wire"
@@ -62,6 +65,7 @@
 	platform catkinspindle.Platform
 	peers    catkinspindle.Peers
 	dialer   catkinspindle.Dialer
+	direct   catkinspindle.Connector
 }
 
 // Option configures a Node.
@@ -76,6 +80,9 @@
 // WithDialer replaces the dialer of backend servers.
 func WithDialer(d catkinspindle.Dialer) Option { return func(n *Node) { n.dialer = d } }
 
+// WithConnector replaces the default connections to backend servers over this VM's own paths.
+func WithConnector(c catkinspindle.Connector) Option { return func(n *Node) { n.direct = c } }
+
 // WithSeed seeds the random choice among equally good backend servers, which makes it
 // reproducible.
 func WithSeed(seed uint64) Option { return func(n *Node) { n.seed = seed } }
@@ -92,6 +99,7 @@
 		metrics:      metrics.NewRegistry(),
 		seed:         uint64(time.Now().UnixNano()),
 		hasListeners: true,
+		direct:       replicas.NewDialer(0),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -107,8 +115,9 @@
 	if n.platform == nil {
 		n.platform = platform.New(n.cfg.Platform, wire.NewClient(n.cfg.Timing.CallTimeout))
 	}
+	connections := relays.New(n.direct, paths.New(), n.log)
 	if n.dialer == nil {
-		n.dialer = backends.New(n.cfg.Timing.CallTimeout)
+		n.dialer = backends.New(n.cfg.Timing.CallTimeout, wire.WithConnector(connections))
 	}
 	if n.peers != nil {
 		return nil
@@ -118,9 +127,21 @@
 		return err
 	}
 	n.peers = transport
+	connections.Join(catkinspindle.Node{Name: n.cfg.Name, DataCentre: n.cfg.DataCentre}, transport, n.otherNodes)
 	return n.kernel.Register(servicePeers, transport)
 }
 
+// otherNodes returns the VMs through which this one may connect to backend servers.
+func (n *Node) otherNodes() []catkinspindle.Node {
+	var list []catkinspindle.Node
+	for _, m := range n.Snapshot().Members {
+		if !m.Leaving && m.Origin.VM != n.cfg.Name {
+			list = append(list, catkinspindle.Node{Name: m.Origin.VM, PeerAddress: m.PeerAddress, DataCentre: m.DataCentre})
+		}
+	}
+	return list
+}
+
 // registerServices builds the services and registers them in the kernel with their dependencies.
 func (n *Node) registerServices() error {
 	cfg := n.cfg
--- a/wire/client.go
+++ b/wire/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -38,6 +39,13 @@
 // on a reused connection could be mistaken for the response to the next request.
 func WithoutKeepAlive() Option { return func(t *http.Transport) { t.DisableKeepAlives = true } }
 
+// WithConnector sets how connections are opened. The default dials directly.
+func WithConnector(c catkinspindle.Connector) Option {
+	return func(t *http.Transport) {
+		t.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return c.Connect(ctx, address) }
+	}
+}
+
 // NewClient returns a client whose connection attempts time out after dialTimeout.
 func NewClient(dialTimeout time.Duration, opts ...Option) *Client {
 	transport := &http.Transport{
