--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -258,15 +258,6 @@
 	f.members[f.self.Name].Leaving = true
 }
 
-// SetPathsLost tells the other nodes whether this one reaches no replica.
-func (f *Fleet) SetPathsLost(lost bool) {
-	f.mu.Lock()
-	f.self.PathsLost = lost
-	f.members[f.self.Name].PathsLost = lost
-	f.mu.Unlock()
-	f.Wake()
-}
-
 // SetRegistered replaces the registered nodes with list, which the store has returned.
 func (f *Fleet) SetRegistered(list []catkinspindle.Node) {
 	f.mu.Lock()
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -336,15 +336,6 @@
 	n.relays.SetReplicas(s.Replicas)
 }
 
-// pathsChanged tells the other nodes that this one has lost all its paths to the replicas, or that
-// one works again.
-func (n *Node) pathsChanged(lost bool) {
-	n.log.Warn("paths to the replicas changed", events.PathsChanged.Attr(), "lost", lost)
-	if n.isJoined() {
-		n.fleet.SetPathsLost(lost)
-	}
-}
-
 // replicaLeaving records that a replica's response to a reservation order said that the
 // replica is leaving.
 func (n *Node) replicaLeaving(r catkinspindle.Replica) {
