--- a/gatewaynode/stop_test.go
+++ b/gatewaynode/stop_test.go
@@ -107,6 +107,35 @@
 	}
 }
 
+// Requests that are in flight when the grace period of a planned stop ends get a failure.
+func TestRequestsThatOutlastAPlannedStopAreAnswered(t *testing.T) {
+	s := start(t, 2, site.WithGrace(time.Second))
+	for _, r := range s.App {
+		r.SetFaults(replica.Faults{PlainPause: 8 * time.Second})
+	}
+	var group errgroup.Group
+	for _, kind := range requestKinds[1:] {
+		group.Go(func() error {
+			status, body, err := s.Send(context.Background(), s.CallersAddress(0), "slow-"+kind.target[1:4], kind.method, kind.target, site.Key, kind.tokens)
+			if err != nil || status != http.StatusBadGateway {
+				t.Errorf("%s: status %d, body %q, error %v; want a failure that the request may have run", kind.target, status, body, err)
+			}
+			return nil
+		})
+	}
+	await(t, "the requests run", func() bool {
+		runs := 0
+		for _, r := range s.App {
+			runs += len(r.Executions())
+		}
+		return runs >= len(requestKinds[1:])
+	})
+	if err := s.StopNode(context.Background(), 0); err != nil {
+		t.Error(err)
+	}
+	_ = group.Wait() // No function returns an error.
+}
+
 // freeAddress returns an address of ip with a port that is not in use.
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
