--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 for program in target/catkinspindle-node target/review-harness; do
 	[ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build.sh" >&2; exit 2; }
 done
-exec target/review-harness stall review/4
+exec target/review-harness shed review/4
--- a/review/harness/accept.go
+++ b/review/harness/accept.go
@@ -51,7 +51,7 @@
 	for _, r := range replicas {
 		r.quiet = true
 	}
-	l.configure(routesOfApp(), oneTenant())
+	l.configure(l.routesOfApp(), oneTenant())
 	if err := l.startNodes(ctx, machines, maxFDs); err != nil {
 		return err
 	}
--- a/review/harness/grace.go
+++ b/review/harness/grace.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	l.configure(routesOfApp(), oneTenant())
+	l.configure(l.routesOfApp(), oneTenant())
 	if err := l.startNodes(ctx, 2, 0); err != nil {
 		return err
 	}
--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -51,6 +51,8 @@
 	version int64
 	// headerBytes is max-header-bytes of the next configuration.
 	headerBytes int
+	// engine is true if the replicas belong to a service with an engine.
+	engine bool
 }
 
 // node is a process of the project's node.
@@ -121,6 +123,11 @@
 		"routes":  routes,
 		"services": []map[string]any{
 			{"name": "app", "health-path": "/healthz", "max-conns": 1000, "protocol": "h1", "tls": false},
+			{"name": "pool", "health-path": "/healthz", "max-conns": 274, "protocol": "h1", "tls": false, "engine": map[string]any{
+				"slots": slotsOfShed, "kv-capacity": 315000, "kv-bytes": 163840, "link-mbps": 400000.0, "stride": 51, "models": []map[string]string{{"name": "m"}},
+				"step_ms": 0.85, "per_seq_ms": 0.00425, "context_per_k": 0.00285, "read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048, "report_lag_ms": 200.0,
+				"delays": []any{}, "usual": map[string]int{"prompt": 11104, "answer": 1622}, "hop-ms": 0.05,
+			}},
 		},
 		"limits":  map[string]any{"max-header-bytes": l.headerBytes, "max-body-bytes": maxBodyBytes, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants": tenants,
@@ -129,14 +136,27 @@
 	return time.Now()
 }
 
-// routesOfApp returns the routes of all cases.
-func routesOfApp() []map[string]any {
+// service returns the name of the service of the streams and of the replicas.
+func (l *lab) service() string {
+	if l.engine {
+		return "pool"
+	}
+	return "app"
+}
+
+// routesOfApp returns the routes of all cases. The streams of a service with an engine have the
+// bounds of face-describe, the others those of archive-audit.
+func (l *lab) routesOfApp() []map[string]any {
+	objective, gap := 3000, 1000
+	if l.engine {
+		objective, gap = 300, 250
+	}
 	return []map[string]any{
 		{"name": "read", "host": host, "path-prefix": "/read/", "type": "idempotent", "timeout-ms": 3000, "slo-ms": 300, "priority": 2, "service": "app", "max-attempts": 2, "public": false},
 		{"name": "large", "host": host, "path-prefix": "/large/", "type": "idempotent", "timeout-ms": 3000, "slo-ms": 300, "priority": 2, "service": "app", "max-attempts": 2, "public": false},
 		{"name": "upload", "host": host, "path-prefix": "/upload/", "type": "idempotent", "timeout-ms": 15000, "slo-ms": 3000, "priority": 2, "service": "app", "max-attempts": 2, "public": false},
 		{"name": "act", "host": host, "path-prefix": "/act/", "type": "non_idempotent", "timeout-ms": 15000, "slo-ms": 300, "priority": 2, "service": "app", "max-attempts": 1, "public": false},
-		{"name": "chat", "host": host, "path-prefix": "/chat/", "type": "streaming", "timeout-ms": 15000, "slo-ms": 3000, "gap-target-ms": 1000, "priority": 1, "service": "app", "max-attempts": 2, "public": false, "sticky": true, "resumable": true},
+		{"name": "chat", "host": host, "path-prefix": "/chat/", "type": "streaming", "timeout-ms": 15000, "slo-ms": objective, "gap-target-ms": gap, "priority": 1, "service": l.service(), "max-attempts": 2, "public": false, "sticky": true, "resumable": true},
 	}
 }
 
--- a/review/harness/limits.go
+++ b/review/harness/limits.go
@@ -23,7 +23,7 @@
 		return err
 	}
 	l.headerBytes = headerBytesBefore
-	l.configure(routesOfApp(), oneTenant())
+	l.configure(l.routesOfApp(), oneTenant())
 	if err := l.startNodes(ctx, 2, 0); err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 	headerBytes := headerBytesBefore / 2
 	if trouble {
 		l.headerBytes = headerBytesAfter
-		l.configure(routesOfApp(), oneTenant())
+		l.configure(l.routesOfApp(), oneTenant())
 		headerBytes = headerBytesAfter / 2
 	}
 	if err := sleep(ctx, configApply+stableWindow); err != nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 	"grace":   runGrace,
 	"limits":  runLimits,
 	"stall":   runStall,
+	"shed":    runShed,
 	"memory":  runMemory,
 }
 
--- a/review/harness/memory.go
+++ b/review/harness/memory.go
@@ -33,7 +33,7 @@
 	if _, err := l.addReplicas(3, 6*time.Second, 0, 0); err != nil {
 		return err
 	}
-	l.configure(routesOfApp(), oneTenant())
+	l.configure(l.routesOfApp(), oneTenant())
 	if err := l.startNodes(ctx, 2, 0); err != nil {
 		return err
 	}
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -33,6 +33,11 @@
 	quiet  bool
 	// slow is how many times as long the replica takes for a large answer.
 	slow atomic.Int64
+	// shedding is true while the replica rejects a part of its requests; rejected counts them.
+	shedding atomic.Bool
+	rejected atomic.Int64
+	// silentUntil is the time in nanoseconds until which the replica sends nothing.
+	silentUntil atomic.Int64
 
 	mu   sync.Mutex
 	runs map[string]*execution
@@ -46,7 +51,7 @@
 		return nil, err
 	}
 	l.store.Put("servers", r.id, map[string]any{
-		"service": "app", "addr": addr, "zone": "zone-a", "version": 1, "slots": 64, "state": "ready",
+		"service": l.service(), "addr": addr, "zone": "zone-a", "version": 1, "slots": slotsOfShed, "state": "ready",
 		"cold-left-ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
 	return r, nil
@@ -98,6 +103,11 @@
 		return // The request did not arrive whole.
 	}
 	ctx := req.Context()
+	if r.sheds() {
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if ms, err := strconv.Atoi(req.Header.Get("Deadline-Ms")); err == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
@@ -142,7 +152,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := first; n <= r.events; n++ {
-		if sleep(ctx, r.pause) != nil {
+		if sleep(ctx, r.pause) != nil || r.awaitVoice(ctx) != nil {
 			return false
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %d\n\n", n, n, r.events); err != nil {
--- a/review/harness/stall.go
+++ b/review/harness/stall.go
@@ -34,7 +34,7 @@
 		r.quiet = true
 		r.slow.Store(1)
 	}
-	l.configure(routesOfApp(), oneTenant())
+	l.configure(l.routesOfApp(), oneTenant())
 	if err := l.startNodes(ctx, 3, 0); err != nil {
 		return err
 	}
--- a/review/harness/tenants.go
+++ b/review/harness/tenants.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return err
 	}
-	l.configure(routesOfApp(), oneTenant())
+	l.configure(l.routesOfApp(), oneTenant())
 	if err := l.startNodes(ctx, 3, 0); err != nil {
 		return err
 	}
@@ -29,7 +29,7 @@
 		return fmt.Errorf("before the change %d requests with the unknown key and %d with the known one ran", ran[neverHeldKey], ran[knownKey])
 	}
 	if trouble {
-		l.configure(routesOfApp(), []map[string]any{})
+		l.configure(l.routesOfApp(), []map[string]any{})
 	}
 	if err := sleep(ctx, configApply+stableWindow); err != nil {
 		return err
