--- a/review/harness/shed.go
+++ b/review/harness/shed.go
@@ -85,17 +85,23 @@
 				return err
 			}
 			client := &http.Client{Transport: &http.Transport{}}
+			// kept is true when the channel has carried a whole answer.
+			kept := false
 			for k := 0; time.Since(begin) < timeOfShed && ctx.Err() == nil; k++ {
 				id := fmt.Sprintf("shed-%02d-%02d", i, k)
 				a := l.readStream(ctx, client, l.nodes[i%2], id)
 				switch {
 				case a.whole:
 					complete.Add(1)
+					kept = true
 				case a.status != http.StatusOK:
 					refused.Add(1)
 				default:
-					cut.Add(1)
-					l.note("requester: %s was cut %.2f s after piece %d of %d, begun by replica %s: %v", id, a.silence.Seconds(), a.pieces, eventsOfShed, a.seal, a.err)
+					if kept {
+						cut.Add(1)
+					}
+					l.note("requester: %s was cut %.2f s after piece %d of %d, on a kept channel: %t, begun by replica %s: %v", id, a.silence.Seconds(), a.pieces, eventsOfShed, kept, a.seal, a.err)
+					kept = false
 					for _, r := range replicas {
 						if e, ok := r.run(id); ok {
 							l.note("judge: %s ran at replica %s for %.2f s", id, r.id, e.end.Sub(e.start).Seconds())
@@ -110,7 +116,7 @@
 		})
 	}
 	wait.Wait()
-	l.note("judge: %d streams complete, %d refused or failed, %d cut; %d requests were rejected by replica %s", complete.Load(), refused.Load(), cut.Load(), replicas[0].rejected.Load(), replicas[0].id)
+	l.note("judge: %d streams complete, %d refused or failed, %d cut on kept channels; %d requests were rejected by replica %s", complete.Load(), refused.Load(), cut.Load(), replicas[0].rejected.Load(), replicas[0].id)
 	if cut.Load() > 3 {
 		return fmt.Errorf("%w: %d streams from kept channels that sound replicas were answering ended in the middle", errBroken, cut.Load())
 	}
