Log who ended an attempt and how many replicas were silent

Failed attempts now carry who ended them and why, how long no data had come, and how many other replicas of the service were silent as well. Package silence counts these.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -148,6 +148,7 @@
 		}
 		if !event.CommentOnly {
 			stall.reset()
+			x.receiveData()
 			if received++; received == harmlessEvents {
 				x.recordBegun()
 			}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -99,6 +99,8 @@
 	// last one.
 	longestEventGap time.Duration
 	lastEventAt     time.Time
+	// running is the current attempt.
+	running runningAttempt
 	// broken is set while an attempt ends whose connection broke.
 	broken *brokenAttempt
 	// attemptCount counts attempts; it makes the IDs of their reservations unique.
@@ -215,6 +217,8 @@
 	sent, avoid := x.sent+1, append(slices.Clone(x.avoid), p.Replica)
 	attemptCtx, stall := newStallTimer(ctx, x.stallTimeout(p), func() bool { return x.placeFailover(ctx, sent, avoid) }, x.releaseFailover)
 	defer stall.stop()
+	x.expectData(attemptCtx, p, replica)
+	defer x.gateway.silence.End(replica, p.JobID)
 	answer, err := x.send(attemptCtx, p, replica, helpers, probe, &result)
 	if err != nil {
 		return false, x.handleSendError(ctx, p, replica, &result, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/retries"
 	"github.com/catkinspindle/catkinspindle/routes"
+	"github.com/catkinspindle/catkinspindle/silence"
 	"github.com/catkinspindle/catkinspindle/view"
 )
 
@@ -99,6 +100,8 @@
 	rateLimits      *ratelimits.Table
 	// onRateLimit is called with a replica whose rate limit the placing node may not know.
 	onRateLimit func(catkinspindle.Replica)
+	// silence has the replicas that this node awaits data from.
+	silence *silence.Table
 	// quarantine has the requests that crash replicas.
 	quarantine *quarantine.Table
 	allowTrial func(context.Context, catkinspindle.RequestKey) bool
@@ -147,7 +150,7 @@
 
 // New returns a Gateway.
 func New(v *view.View, p Placer, s Sender, m ReservationManager, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), answerTimes: newAnswerTimes(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), answerTimes: newAnswerTimes(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, silence: silence.New(), quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
 	g.ended, g.endRequests = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(g)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -269,6 +269,9 @@
 	return g, server
 }
 
+// testBudget is a retry budget that allows all retries of a test.
+var testBudget = catkinspindle.RetryBudget{Window: 10 * time.Second, Min: 9}
+
 // newGateway returns a gateway with w as its placer.
 func newGateway(w *fakeCluster, replicas gateway.Sender, allowance float64, known bool, opts ...gateway.Option) *gateway.Gateway {
 	v := view.New(nil)
@@ -281,7 +284,9 @@
 	}
 	v.SetReplicas(list, at(1), time.Time{})
 	w.view = v
-	b := retries.New(catkinspindle.RetryBudget{Window: 10 * time.Second, Min: allowance}, 1)
+	budget := testBudget
+	budget.Min = allowance
+	b := retries.New(budget, 1)
 	return gateway.New(v, w, replicas, w, b, gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, slog.New(slog.DiscardHandler), opts...)
 }
 
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -59,5 +59,8 @@
 	if err != nil {
 		attrs = append(attrs, "error", err.Error())
 	}
+	if x.running.replica.ID == p.Replica {
+		attrs = append(attrs, x.running.attrs(x.gateway.silence)...)
+	}
 	x.gateway.log.Info("attempt failed", attrs...)
 }
--- /dev/null
+++ b/silence/table.go
@@ -0,0 +1,99 @@
+// Package silence tracks the replicas from which a node awaits data. A single silent replica
+// may have failed; when most of them are silent at the same time, they are more likely to go on
+// than to fail together, and another one would be no faster.
+package silence
+
+import (
+	"sync"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+// minSilence is the time without data below which no replica counts as silent.
+const minSilence = 400 * time.Millisecond
+
+// Table holds the replicas from which data is awaited. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+// entry is a replica from which at least one attempt awaits data.
+type entry struct {
+	replica catkinspindle.Replica
+	// quietSince is when data last arrived, or when the first attempt began to wait.
+	quietSince time.Time
+	// due is the time by which each attempt expects data.
+	due map[string]time.Time
+}
+
+func (e *entry) silent(now time.Time) bool {
+	if now.Sub(e.quietSince) < minSilence {
+		return false
+	}
+	for _, due := range e.due {
+		if now.After(due) {
+			return true
+		}
+	}
+	return false
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{entries: map[string]*entry{}} }
+
+// Expect records that an attempt at r expects data within the given time. It must be followed by End.
+func (t *Table) Expect(now time.Time, r catkinspindle.Replica, attempt string, within time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[r.ID]
+	if !ok || !e.replica.SameIncarnation(r) {
+		e = &entry{replica: r, quietSince: now, due: map[string]time.Time{}}
+		t.entries[r.ID] = e
+	}
+	e.due[attempt] = now.Add(max(minSilence, within))
+}
+
+// Receive records that data has arrived for an attempt at r, which expects more within the given
+// time.
+func (t *Table) Receive(now time.Time, r catkinspindle.Replica, attempt string, within time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[r.ID]
+	if !ok || !e.replica.SameIncarnation(r) {
+		return
+	}
+	e.quietSince = now
+	e.due[attempt] = now.Add(max(minSilence, within))
+}
+
+// End records that an attempt at r awaits no more data.
+func (t *Table) End(r catkinspindle.Replica, attempt string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[r.ID]
+	if !ok || !e.replica.SameIncarnation(r) {
+		return
+	}
+	if delete(e.due, attempt); len(e.due) == 0 {
+		delete(t.entries, r.ID)
+	}
+}
+
+// Others returns how many other replicas of r's service data is awaited from, and how many of
+// them are silent.
+func (t *Table) Others(now time.Time, r catkinspindle.Replica) (silent, awaited int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		if id == r.ID || e.replica.Service != r.Service {
+			continue
+		}
+		awaited++
+		if e.silent(now) {
+			silent++
+		}
+	}
+	return silent, awaited
+}
