Add failing tests of streams cut while a replica is silent

They fail on: the running attempt is given up when another replica is chosen, before that one has taken the request.

--- /dev/null
+++ b/gateway/takeover_test.go
@@ -0,0 +1,124 @@
+package gateway_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+const (
+	firstEvent  = "id: 1\ndata: a\n\n"
+	secondEvent = "id: 2\ndata: b\n\n"
+	thirdEvent  = "id: 3\ndata: c\n\n"
+)
+
+// serveAborted serves a request in a test bubble and reports whether the gateway aborted the
+// connection.
+func serveAborted(g http.Handler, path string) (answer deadlineRecorder, aborted bool) {
+	answer = deadlineRecorder{httptest.NewRecorder()}
+	defer func() {
+		if r := recover(); r != nil && r != http.ErrAbortHandler {
+			panic(r)
+		}
+	}()
+	aborted = true
+	g.ServeHTTP(answer, newRequest(path))
+	return answer, false
+}
+
+func TestSilentStreamIsNotCutWhileItsReplicaMayGoOn(t *testing.T) {
+	silentOnce := scriptedAnswer{status: 200, body: firstEvent, rest: secondEvent, pause: 1700 * time.Millisecond}
+	tests := map[string][]scriptedAnswer{
+		"other replica rejects":        {refusedAnswer},
+		"other replicas reject":        {refusedAnswer, refusedAnswer, refusedAnswer},
+		"other replica breaks":         {{err: errAfterSend}},
+		"other replica is unreachable": {{err: errBeforeSend}},
+		"other replica fails":          {errorAnswer},
+		"other replica is silent too":  {{status: 200, silent: true}},
+		"other stream breaks":          {{status: 200, broken: true}},
+		"other replica skips an event": {{status: 200, body: thirdEvent}},
+		"other replica is slower":      {{status: 200, rest: secondEvent, pause: time.Second}},
+	}
+	for name, others := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &fakeCluster{steps: append([]scriptedAnswer{silentOnce}, others...)}
+				answer, aborted := serveAborted(newGateway(w, w, 9, true), "/quick/")
+				if aborted {
+					t.Error("the caller's connection was aborted")
+				}
+				if diff := cmp.Diff(firstEvent+secondEvent, answer.Body.String()); diff != "" {
+					t.Errorf("stream (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// A request that has not run on the first replica may be answered by it after others have rejected it.
+func TestSilentPlainAnswerIsNotGivenUpForARejection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeCluster{steps: []scriptedAnswer{{status: 200, rest: "fine", pause: 1700 * time.Millisecond}, refusedAnswer, refusedAnswer}}
+		answer, aborted := serveAborted(newGateway(w, w, 9, true), "/quick-any/")
+		if aborted || answer.Code != http.StatusOK || answer.Body.String() != "fine" {
+			t.Errorf("status %d, body %q, aborted %t", answer.Code, answer.Body, aborted)
+		}
+	})
+}
+
+// A stream whose replica broke is not cut because the next one states that it did not run it.
+func TestBegunStreamSurvivesRejections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeCluster{steps: []scriptedAnswer{{status: 200, body: firstEvent, broken: true}, refusedAnswer, {status: 200, body: secondEvent}}}
+		answer, aborted := serveAborted(newGateway(w, w, 9, true), "/quick/")
+		if aborted {
+			t.Error("the caller's connection was aborted")
+		}
+		if diff := cmp.Diff(firstEvent+secondEvent, answer.Body.String()); diff != "" {
+			t.Errorf("stream (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Replicas that hang for good are left for one that answers, and each one is told only once.
+func TestHungReplicaIsLeftForOneThatAnswers(t *testing.T) {
+	tests := map[string]struct {
+		steps    []scriptedAnswer
+		outcomes []catkinspindle.Outcome
+	}{
+		"in the stream":               {[]scriptedAnswer{{status: 200, body: firstEvent, silent: true}, {status: 200, body: secondEvent}}, []catkinspindle.Outcome{catkinspindle.OutcomeDone, catkinspindle.OutcomeFailed}},
+		"before the first event":      {[]scriptedAnswer{{status: 200, silent: true}, {status: 200, body: firstEvent + secondEvent}}, []catkinspindle.Outcome{catkinspindle.OutcomeDone, catkinspindle.OutcomeFailed}},
+		"after another has rejected":  {[]scriptedAnswer{{status: 200, body: firstEvent, silent: true}, refusedAnswer, {status: 200, body: secondEvent}}, []catkinspindle.Outcome{catkinspindle.OutcomeDone, catkinspindle.OutcomeRefused, catkinspindle.OutcomeFailed}},
+		"and breaks while it is left": {[]scriptedAnswer{{status: 200, body: firstEvent, rest: "id: 2\nda", pause: 1300 * time.Millisecond}, {status: 200, rest: secondEvent, pause: 300 * time.Millisecond}}, []catkinspindle.Outcome{catkinspindle.OutcomeDone, catkinspindle.OutcomeFailed}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &fakeCluster{steps: tt.steps}
+				g := newGateway(w, w, 9, true)
+				start := time.Now()
+				answer, aborted := serveAborted(g, "/quick/")
+				if aborted || time.Since(start) > 2500*time.Millisecond {
+					t.Errorf("aborted %t after %v", aborted, time.Since(start))
+				}
+				if err := g.Wait(); err != nil {
+					t.Error(err)
+				}
+				if diff := cmp.Diff(firstEvent+secondEvent, answer.Body.String()); diff != "" {
+					t.Errorf("stream (-want +got):\n%s", diff)
+				}
+				slices.Sort(w.outcomes)
+				if diff := cmp.Diff(tt.outcomes, w.outcomes); diff != "" {
+					t.Errorf("outcomes (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
