Keep a silent attempt until another replica has delivered

Cause: the stall timer ended the running attempt as soon as another replica was chosen. When that one rejected the request, broke or was silent too, the attempts were used up and nothing was left. Class: what works is given up before its replacement has proven itself.

Now the request is sent to the other replica beside the running attempt. The second one takes over when it has delivered the next event or a complete answer; if the first is faster, the second is ended. Events of two runs are never joined: exactly one of them is chosen under a lock, and both go on after the last event forwarded. The timer stands still while an event is written to a slow caller, and a large answer that has begun is no longer watched, so neither is cut for silence. A rejection of a request that has begun, or is running elsewhere, does not count as an attempt; there are at most four. Each arrival still draws on the retry budget, and at most max-attempts replicas run the request.

Ruled out: the replica or its kernel ended the connection (ended-by of the logs says the node).

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -12,41 +11,54 @@
 	"github.com/catkinspindle/catkinspindle/eventstream"
 )
 
+// forward forwards the answer of a to the caller. done is true when the caller has its answer; if done is
+// false and f is nil, a standby goes on or another attempt follows.
+func (x *exchange) forward(a *attempt, t *takeover) (done bool, f *catkinspindle.Failure) {
+	if x.isStream(a) {
+		return x.forwardEvents(a, t)
+	}
+	return x.forwardPlain(a, t)
+}
+
 // forwardPlain forwards an answer that is not an event stream. An answer of at most
 // maxBufferedBytes is read completely before its head is sent, so that a failed attempt can
 // be retried.
-func (x *exchange) forwardPlain(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, answer *catkinspindle.Answer, result *catkinspindle.AttemptResult, startedAt time.Time) (bool, *catkinspindle.Failure) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
-	if err != nil {
-		x.logFailedAttempt(p, "broken", err)
-		x.broke(replica, err, len(body) > 0)
-		return false, x.retrySent(ctx, result, p.Replica)
+func (x *exchange) forwardPlain(a *attempt, t *takeover) (bool, *catkinspindle.Failure) {
+	if err := a.readBody(); err != nil {
+		x.handleBroken(a, "broken", err, false)
+		return false, nil
 	}
-	result.TimeToFirstEvent = time.Since(startedAt)
+	answer := a.answer
+	a.result.TimeToFirstEvent = time.Since(a.startedAt)
 	if answer.Status/100 == 2 {
 		x.recordBegun()
 	}
 	if x.responseBegun {
-		x.logFailedAttempt(p, "answered a resumed stream with status "+strconv.Itoa(answer.Status), nil)
-		return false, x.retrySent(ctx, result, p.Replica)
+		x.avoid = append(x.avoid, a.placement.Replica)
+		x.logFailedAttempt(a, "answered a resumed stream with status "+strconv.Itoa(answer.Status), nil)
+		return false, nil
 	}
 	if answer.Status >= http.StatusInternalServerError {
-		x.logFailedAttempt(p, "failed with status "+strconv.Itoa(answer.Status), nil)
-		if x.route.RetryMode != catkinspindle.RetryNever && x.retrySent(ctx, result, p.Replica) == nil {
+		x.avoid = append(x.avoid, a.placement.Replica)
+		x.logFailedAttempt(a, "failed with status "+strconv.Itoa(answer.Status), nil)
+		if x.route.RetryMode != catkinspindle.RetryNever && (x.settle(t, false) != nil || (t.ctx.Err() == nil && x.retryFailure() == nil)) {
 			return false, nil
 		}
 	}
+	if !t.commit() {
+		return false, x.lose(a)
+	}
 	x.timeToFirstEvent = time.Since(x.arrivedAt)
 	x.beginResponse(answer)
-	if len(body) > maxBufferedBytes {
-		return x.forwardUnbuffered(p, answer, body, result)
+	if len(a.body) > maxBufferedBytes {
+		return x.forwardUnbuffered(a)
 	}
 	if answer.Status < http.StatusInternalServerError {
-		result.Outcome = catkinspindle.OutcomeDone
+		a.result.Outcome = catkinspindle.OutcomeDone
 	}
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	x.w.WriteHeader(answer.Status)
-	if _, err := x.w.Write(body); err != nil {
+	if _, err := x.w.Write(a.body); err != nil {
 		return true, x.fail(reasonCallerGone, "client disconnected")
 	}
 	return true, nil
@@ -54,7 +66,8 @@
 
 // forwardUnbuffered forwards an answer of over maxBufferedBytes while it is being received.
 // Such a request cannot be retried: if the replica's body is truncated, so is the caller's.
-func (x *exchange) forwardUnbuffered(p catkinspindle.Placement, answer *catkinspindle.Answer, buffered []byte, result *catkinspindle.AttemptResult) (bool, *catkinspindle.Failure) {
+func (x *exchange) forwardUnbuffered(a *attempt) (bool, *catkinspindle.Failure) {
+	answer, buffered := a.answer, a.body
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
@@ -68,7 +81,7 @@
 			_, err = x.w.Write(chunk)
 		}
 		if err != nil {
-			result.Outcome = catkinspindle.OutcomeGivenUp
+			a.result.Outcome = catkinspindle.OutcomeGivenUp
 			return false, x.fail(reasonCallerGone, "client disconnected")
 		}
 		forwarded += len(chunk)
@@ -78,14 +91,14 @@
 			err = errAnswerTooLong
 		case errors.Is(err, io.EOF) && n == 0:
 			if answer.Status < http.StatusInternalServerError {
-				result.Outcome = catkinspindle.OutcomeDone
+				a.result.Outcome = catkinspindle.OutcomeDone
 			}
 			return true, nil
 		case errors.Is(err, io.EOF):
 			err = nil
 		}
 		if err != nil {
-			x.logFailedAttempt(p, "broken after "+strconv.Itoa(forwarded)+" bytes", err)
+			x.logFailedAttempt(a, "broken after "+strconv.Itoa(forwarded)+" bytes", err)
 			return false, x.fail(catkinspindle.ReasonBackendFailed, "the answer was truncated")
 		}
 		chunk = buffered[:n]
@@ -110,20 +123,22 @@
 }
 
 // forwardEvents forwards complete events as they arrive.
-func (x *exchange) forwardEvents(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, answer *catkinspindle.Answer, stall *stallTimer, result *catkinspindle.AttemptResult, startedAt time.Time) (bool, *catkinspindle.Failure) {
-	reader := eventstream.NewReader(answer.Body)
+func (x *exchange) forwardEvents(a *attempt, t *takeover) (bool, *catkinspindle.Failure) {
 	control := http.NewResponseController(x.w)
 	received, resumed := 0, x.responseBegun
 	for {
-		event, err := reader.Next()
+		event, err := a.next()
 		if errors.Is(err, io.EOF) {
-			result.Outcome = catkinspindle.OutcomeDone
+			if !t.commit() {
+				return false, x.lose(a)
+			}
+			a.result.Outcome = catkinspindle.OutcomeDone
 			if received > 0 && received < harmlessEvents {
 				x.recordBegun()
 			}
 			if !x.responseBegun {
-				x.beginResponse(answer)
-				x.w.WriteHeader(answer.Status)
+				x.beginResponse(a.answer)
+				x.w.WriteHeader(a.answer.Status)
 			}
 			return true, nil
 		}
@@ -134,60 +149,69 @@
 			continue
 		}
 		if err != nil {
-			if ctx.Err() == nil {
-				x.logFailedAttempt(p, "stream broken after event "+x.lastEventID, err)
-				x.broke(replica, err, received >= harmlessEvents)
-			}
-			if f := x.retrySent(ctx, result, p.Replica); f != nil {
-				return false, f
-			}
-			if x.route.RetryMode != catkinspindle.RetryResume && x.responseBegun {
-				return false, x.fail(catkinspindle.ReasonBackendFailed, "the stream broke and its route does not allow resuming")
-			}
+			x.handleBroken(a, "stream broken after event "+x.lastEventID, err, received >= harmlessEvents)
 			return false, nil
 		}
+		if event.CommentOnly && a.ctx.Err() != nil {
+			return false, x.lose(a)
+		}
 		if !event.CommentOnly {
-			stall.reset()
-			x.receiveData()
+			if !t.receive() {
+				return false, x.lose(a)
+			}
+			x.receiveData(a)
 			if received++; received == harmlessEvents {
 				x.recordBegun()
 			}
+			x.recordEvent(a)
 		}
-		if result.TimeToFirstEvent == 0 && !event.CommentOnly {
-			result.TimeToFirstEvent = time.Since(startedAt)
-			if x.timeToFirstEvent == 0 {
-				x.timeToFirstEvent = time.Since(x.arrivedAt)
-			}
-		}
-		if !x.responseBegun {
-			x.beginResponse(answer)
-			x.w.WriteHeader(answer.Status)
-		}
-		err = control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-		if err == nil {
-			_, err = x.w.Write(event.Bytes)
-		}
-		if err == nil {
-			err = control.Flush()
-		}
-		if err != nil {
-			result.Outcome = catkinspindle.OutcomeGivenUp
-			return false, x.fail(reasonCallerGone, "client disconnected")
-		}
-		if event.ID != "" {
-			x.lastEventID = event.ID
+		if f := x.writeEvent(control, a, event); f != nil {
+			return false, f
 		}
-		if event.CommentOnly {
-			continue
-		}
-		now := time.Now()
-		if !x.lastEventAt.IsZero() {
-			x.longestEventGap = max(x.longestEventGap, now.Sub(x.lastEventAt))
+		if !event.CommentOnly {
+			t.resume(x)
 		}
-		x.lastEventAt = now
 	}
 }
 
+// recordEvent records the times of an event.
+func (x *exchange) recordEvent(a *attempt) {
+	now := time.Now()
+	if a.result.TimeToFirstEvent == 0 {
+		a.result.TimeToFirstEvent = now.Sub(a.startedAt)
+	}
+	if x.timeToFirstEvent == 0 {
+		x.timeToFirstEvent = now.Sub(x.arrivedAt)
+	}
+	if !x.lastEventAt.IsZero() {
+		x.longestEventGap = max(x.longestEventGap, now.Sub(x.lastEventAt))
+	}
+	x.lastEventAt = now
+}
+
+// writeEvent writes an event of a to the caller.
+func (x *exchange) writeEvent(control *http.ResponseController, a *attempt, event eventstream.Event) *catkinspindle.Failure {
+	if !x.responseBegun {
+		x.beginResponse(a.answer)
+		x.w.WriteHeader(a.answer.Status)
+	}
+	err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if err == nil {
+		_, err = x.w.Write(event.Bytes)
+	}
+	if err == nil {
+		err = control.Flush()
+	}
+	if err != nil {
+		a.result.Outcome = catkinspindle.OutcomeGivenUp
+		return x.fail(reasonCallerGone, "client disconnected")
+	}
+	if event.ID != "" {
+		x.lastEventID = event.ID
+	}
+	return nil
+}
+
 var (
 	errDuplicateEvent = errors.New("event was already forwarded")
 	errEventGap       = errors.New("gap in event numbers")
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/eventstream"
+	"github.com/catkinspindle/catkinspindle/reservations"
+	"github.com/catkinspindle/catkinspindle/silence"
+)
+
+// attempt is one attempt at the replica of a placement. It is used by one goroutine at a time.
+type attempt struct {
+	placement catkinspindle.Placement
+	replica   catkinspindle.Replica
+	// ctx ends the attempt; its cause says why.
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	startedAt time.Time
+	result    catkinspindle.AttemptResult
+	// reservationErr is why the memory of a helper was not reserved.
+	reservationErr error
+	release        func()
+	answer         *catkinspindle.Answer
+	events         *eventstream.Reader
+	// peeked is an event that has been read and not yet been forwarded, or the end of the stream.
+	peeked *peekedEvent
+	// body has the begin of an answer that is no stream, at most maxBufferedBytes and one byte.
+	body []byte
+	// dataAt is when the request was sent or data last arrived.
+	dataAt time.Time
+}
+
+type peekedEvent struct {
+	event eventstream.Event
+	err   error
+}
+
+func newAttempt(ctx context.Context, p catkinspindle.Placement) *attempt {
+	ctx, cancel := context.WithCancelCause(ctx)
+	now := time.Now()
+	return &attempt{
+		placement: p, ctx: ctx, cancel: cancel, startedAt: now, dataAt: now, release: func() {},
+		result: catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp},
+	}
+}
+
+// next returns the next event that is not forwarded yet.
+func (a *attempt) next() (eventstream.Event, error) {
+	if p := a.peeked; p != nil {
+		a.peeked = nil
+		return p.event, p.err
+	}
+	return a.events.Next()
+}
+
+// isStream reports whether the answer is an event stream.
+func (x *exchange) isStream(a *attempt) bool {
+	return a.answer.Status/100 == 2 && x.route.Streaming
+}
+
+// readBody reads the answer until it is complete or exceeds maxBufferedBytes.
+func (a *attempt) readBody() error {
+	if a.body != nil {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxBufferedBytes+1))
+	if err == nil {
+		a.body = body
+	}
+	return err
+}
+
+// attrs returns the log attributes that tell a replica that ended an attempt from one that was given
+// up by this node, and one silent replica from many.
+func (a *attempt) attrs(t *silence.Table) []any {
+	endedBy := "replica"
+	if a.ctx.Err() != nil {
+		endedBy = "node: " + context.Cause(a.ctx).Error()
+	}
+	now := time.Now()
+	silent, awaited := t.Others(now, a.replica)
+	return []any{"ended-by", endedBy, "silent-for", now.Sub(a.dataAt), "others-silent", silent, "others-awaited", awaited}
+}
+
+// prepare reserves the memory that the placement needs. It returns false if the request must not be
+// sent to the replica, and a failure if no other replica may be tried.
+func (x *exchange) prepare(a *attempt) (helpers []catkinspindle.Helper, probe, ok bool, f *catkinspindle.Failure) {
+	p := a.placement
+	x.replica = p.Replica
+	if _, usable := x.usableReplica(p.Replica); !usable {
+		// The coordinator's view differs: the replica is not yet in this node's list, or its
+		// departure has not yet reached the coordinator.
+		return nil, false, false, x.skipPlacement(a.result)
+	}
+	helpers, release, err := x.reserve(a.ctx, p)
+	if err != nil {
+		a.reservationErr = err
+		return nil, false, false, x.handleReservationError(a, err)
+	}
+	a.release = release
+	// The replica may have begun to leave or a cooldown while the memory was reserved.
+	a.replica, probe, ok = x.beginAttempt(p)
+	if !ok {
+		return nil, false, false, x.skipPlacement(a.result)
+	}
+	if f := x.heldFailure(); f != nil {
+		if probe {
+			x.gateway.cooldown.EndProbe(a.replica)
+		}
+		return nil, false, false, f
+	}
+	a.result.Outcome = catkinspindle.OutcomeFailed
+	a.dataAt = time.Now()
+	within := 2 * p.ExpectedFirstEvent
+	if !x.route.Streaming {
+		within = max(within, x.route.LatencyObjective)
+	}
+	x.gateway.silence.Expect(a.dataAt, a.replica, p.JobID, within)
+	return helpers, probe, true, nil
+}
+
+// receiveData records that an event of a has arrived.
+func (x *exchange) receiveData(a *attempt) {
+	a.dataAt = time.Now()
+	x.gateway.silence.Receive(a.dataAt, a.replica, a.placement.JobID, x.route.MaxEventGap)
+}
+
+// send sends the request once and applies the replica's state that the answer reports. answered is
+// true if the replica has begun to answer and does not state that it did not run the request.
+func (x *exchange) send(a *attempt, helpers []catkinspindle.Helper, probe bool) (answered bool) {
+	a.dataAt = time.Now()
+	answer, err := x.gateway.sender.Send(a.ctx, x.envelope, catkinspindle.Attempt{
+		Replica:    a.replica,
+		Workspace:  x.workspace,
+		TimeLeft:   time.Until(x.deadline),
+		AfterEvent: x.lastEventID,
+		Version:    x.modelVersion,
+		Urgency:    a.placement.Urgency,
+		Helpers:    helpers,
+	}, x.route.RetryMode == catkinspindle.RetryNever)
+	if err == nil {
+		x.applyReplicaState(a.replica, answer, &a.result)
+		x.recordRateLimit(a.dataAt, a.replica, answer)
+	}
+	if probe {
+		x.gateway.cooldown.EndProbe(a.replica)
+	}
+	if err != nil {
+		x.handleSendError(a, err)
+		return false
+	}
+	a.answer = answer
+	if answer.NotRun {
+		x.handleRejection(a)
+		return false
+	}
+	x.sent++
+	x.verdict = catkinspindle.Ran
+	a.events = eventstream.NewReader(answer.Body)
+	return true
+}
+
+// end closes the attempt's connection, releases its memory and reports its result.
+func (x *exchange) end(a *attempt) {
+	if a.answer != nil {
+		_ = a.answer.Body.Close() // It has been read, or is of no more use.
+	}
+	a.cancel(nil)
+	x.gateway.silence.End(a.replica, a.placement.JobID)
+	a.release()
+	a.result.Duration = time.Since(a.startedAt)
+	if a.reservationErr != nil {
+		x.reportReservation(a.result, a.reservationErr)
+		return
+	}
+	x.report(a.result)
+}
+
+// handleReservationError handles an attempt that failed because a helper's memory could not be
+// reserved.
+func (x *exchange) handleReservationError(a *attempt, err error) *catkinspindle.Failure {
+	a.result.Outcome = catkinspindle.OutcomeRefused
+	faulty := a.placement.Replica
+	var failure *reservations.Failure
+	if errors.As(err, &failure) {
+		faulty = failure.Replica
+		a.result.FaultyReplica = faulty
+	}
+	x.logFailedAttempt(a, "memory not reserved", err)
+	return x.skipUnsent(a, faulty)
+}
+
+// handleSendError handles an attempt that ended without an answer.
+func (x *exchange) handleSendError(a *attempt, err error) {
+	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
+		a.result.Outcome, _ = connectOutcome(err)
+		x.logFailedAttempt(a, a.result.Outcome.String(), err)
+		x.skipUnsent(a, a.placement.Replica)
+		return
+	}
+	x.sent++
+	x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
+	x.avoid = append(x.avoid, a.placement.Replica)
+	x.logFailedAttempt(a, "broken", err)
+	x.broke(a.replica, err, false)
+}
+
+// handleRejection handles an answer that states that the replica did not run the request. It does not
+// count as an attempt if the caller would lose what another replica has begun.
+func (x *exchange) handleRejection(a *attempt) {
+	if x.standby || x.responseBegun {
+		x.rejected++
+	} else {
+		x.sent++
+	}
+	a.result.Outcome = catkinspindle.OutcomeRefused
+	a.result.FaultyReplica = x.resolveFaultyReplica(a.answer.FaultyReplica)
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.answer.Body, readChunk)) // Drained so that the connection can be reused.
+	x.logFailedAttempt(a, "refused, at fault: "+a.answer.FaultyReplica, nil)
+	if a.result.FaultyReplica != "" && a.result.FaultyReplica != a.placement.Replica {
+		x.avoid = append(x.avoid, a.result.FaultyReplica)
+	}
+	x.avoid = append(x.avoid, a.placement.Replica)
+}
+
+// skipUnsent excludes a replica because of which the request was not sent. It returns a failure if
+// no other replica may be tried.
+func (x *exchange) skipUnsent(a *attempt, replica string) *catkinspindle.Failure {
+	x.unsent++
+	x.avoid = append(x.avoid, replica)
+	if a.ctx.Err() != nil {
+		a.result.Outcome = catkinspindle.OutcomeGivenUp
+	}
+	return x.unsentFailure()
+}
+
+func (x *exchange) unsentFailure() *catkinspindle.Failure {
+	if x.unsent < maxUnsent {
+		return nil
+	}
+	return x.fail(catkinspindle.ReasonNoBackend, "could not reach any replica within the attempt limit")
+}
+
+// retryFailure returns a failure if the request must not be sent to another replica.
+func (x *exchange) retryFailure() *catkinspindle.Failure {
+	if x.route.RetryMode == catkinspindle.RetryNever && x.verdict != catkinspindle.NotRun {
+		return x.fail(catkinspindle.ReasonBackendFailed, "the attempt failed and the route forbids a retry of a request that may have run")
+	}
+	if x.responseBegun && x.route.RetryMode != catkinspindle.RetryResume {
+		return x.fail(catkinspindle.ReasonBackendFailed, "the stream broke and its route does not allow resuming")
+	}
+	if x.sent >= x.route.MaxAttempts || x.rejected >= maxRejected {
+		return x.fail(catkinspindle.ReasonBackendFailed, "all attempts failed")
+	}
+	return x.unsentFailure()
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
-	"github.com/catkinspindle/catkinspindle/reservations"
 )
 
 const (
@@ -57,13 +53,13 @@
 	keys    []catkinspindle.RequestKey
 	isTrial bool
 
-	mu sync.Mutex
-	// failover is the placement that takes over when the current replica stalls.
-	failover *catkinspindle.Placement
-	// sent counts the attempts in which the request was written to a replica, unsent
-	// those that failed before that.
-	sent   int
-	unsent int
+	// standby is true in the copy that a takeover uses.
+	standby bool
+	// sent counts the attempts in which the request was written to a replica, unsent those that
+	// failed before that. rejected counts the rejections that are not in sent.
+	sent     int
+	rejected int
+	unsent   int
 	// unusable counts placements on replicas that this node cannot use.
 	unusable int
 	avoid    []string
@@ -99,8 +95,6 @@
 	// last one.
 	longestEventGap time.Duration
 	lastEventAt     time.Time
-	// running is the current attempt.
-	running runningAttempt
 	// broken is set while an attempt ends whose connection broke.
 	broken *brokenAttempt
 	// attemptCount counts attempts; it makes the IDs of their reservations unique.
@@ -119,7 +113,6 @@
 	defer cancelCause(nil)
 	defer context.AfterFunc(g.ended, func() { cancelCause(errNodeStopped) })()
 	x.lastEventID = x.envelope.AfterEvent
-	defer x.releaseFailover()
 	x.checkTrial(ctx)
 	for {
 		if f := x.contextFailure(ctx); f != nil {
@@ -128,15 +121,10 @@
 		if f := x.heldFailure(); f != nil {
 			return f
 		}
-		p, ok := x.takeFailover()
-		if ok {
-			x.recordPlacement(p)
-		} else {
-			if x.sent > 0 && !g.budget.AllowRetry(time.Now(), x.service) {
-				return x.fail(catkinspindle.ReasonBackendFailed, "retry budget exhausted")
-			}
-			p = x.place(ctx, x.avoid)
+		if x.arrivals() > 0 && !g.budget.AllowRetry(time.Now(), x.service) {
+			return x.fail(catkinspindle.ReasonBackendFailed, "retry budget exhausted")
 		}
+		p := x.place(ctx, x.avoid)
 		if f := x.contextFailure(ctx); f != nil {
 			if !p.Refused() {
 				g.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
@@ -180,150 +168,41 @@
 	return catkinspindle.Fail(x.verdict, r, "%s", text).WithRetryAfter(minRetryAfter)
 }
 
-// attempt sends the request to the placed replica. done is true when the caller has its
-// answer; if done is false and f is nil, another attempt follows.
+// arrivals returns how often the request has been sent to a replica.
+func (x *exchange) arrivals() int { return x.sent + x.rejected }
+
+// attempt sends the request to the placed replica, and to others while that one is silent. done is
+// true when the caller has its answer; if done is false and f is nil, another attempt follows.
 func (x *exchange) attempt(ctx context.Context, p catkinspindle.Placement) (done bool, f *catkinspindle.Failure) {
-	startedAt := time.Now()
-	result := catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp}
-	x.replica = p.Replica
-	report := x.report
-	defer func() {
-		result.Duration = time.Since(startedAt)
-		report(result)
-	}()
-	if _, ok := x.usableReplica(p.Replica); !ok {
-		// The coordinator's view differs: the replica is not yet in this node's list, or its
-		// departure has not yet reached the coordinator.
-		return false, x.skipPlacement(result)
-	}
-	helpers, release, err := x.reserve(ctx, p)
-	if err != nil {
-		report = func(r catkinspindle.AttemptResult) { x.reportReservation(r, err) }
-		return false, x.handleReservationError(ctx, p, &result, err)
-	}
-	defer release()
-	// The replica may have begun to leave or a cooldown while the memory was reserved.
-	replica, probe, ok := x.beginAttempt(p)
+	a := newAttempt(ctx, p)
+	helpers, probe, ok, f := x.prepare(a)
 	if !ok {
-		return false, x.skipPlacement(result)
-	}
-	if f := x.heldFailure(); f != nil {
-		if probe {
-			x.gateway.cooldown.EndProbe(replica)
-		}
+		x.end(a)
 		return false, f
 	}
-	result.Outcome = catkinspindle.OutcomeFailed
-	sent, avoid := x.sent+1, append(slices.Clone(x.avoid), p.Replica)
-	attemptCtx, stall := newStallTimer(ctx, x.stallTimeout(p), func() bool { return x.placeFailover(ctx, sent, avoid) }, x.releaseFailover)
-	defer stall.stop()
-	x.expectData(attemptCtx, p, replica)
-	defer x.gateway.silence.End(replica, p.JobID)
-	answer, err := x.send(attemptCtx, p, replica, helpers, probe, &result)
-	if err != nil {
-		return false, x.handleSendError(ctx, p, replica, &result, err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	x.sent++
-	if answer.NotRun {
-		return false, x.handleRefusal(ctx, p, answer, &result)
-	}
-	x.verdict = catkinspindle.Ran
-	if answer.Status/100 == 2 && x.route.Streaming {
-		return x.forwardEvents(ctx, p, replica, answer, stall, &result, startedAt)
-	}
-	return x.forwardPlain(ctx, p, replica, answer, &result, startedAt)
-}
-
-// send sends the request once and applies the replica's state that the answer reports.
-func (x *exchange) send(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, helpers []catkinspindle.Helper, probe bool, result *catkinspindle.AttemptResult) (*catkinspindle.Answer, error) {
-	sentAt := time.Now()
-	answer, err := x.gateway.sender.Send(ctx, x.envelope, catkinspindle.Attempt{
-		Replica:    replica,
-		Workspace:  x.workspace,
-		TimeLeft:   time.Until(x.deadline),
-		AfterEvent: x.lastEventID,
-		Version:    x.modelVersion,
-		Urgency:    p.Urgency,
-		Helpers:    helpers,
-	}, x.route.RetryMode == catkinspindle.RetryNever)
-	if err == nil {
-		x.applyReplicaState(replica, answer, result)
-		x.recordRateLimit(sentAt, replica, answer)
-	}
-	if probe {
-		x.gateway.cooldown.EndProbe(replica)
-	}
-	return answer, err
-}
-
-// handleReservationError handles an attempt that failed because a helper's memory could not
-// be reserved.
-func (x *exchange) handleReservationError(ctx context.Context, p catkinspindle.Placement, result *catkinspindle.AttemptResult, err error) *catkinspindle.Failure {
-	result.Outcome = catkinspindle.OutcomeRefused
-	faulty := p.Replica
-	var failure *reservations.Failure
-	if errors.As(err, &failure) {
-		faulty = failure.Replica
-		result.FaultyReplica = faulty
-	}
-	x.logFailedAttempt(p, "memory not reserved", err)
-	return x.retryUnsent(ctx, result, faulty)
-}
-
-// handleSendError handles an attempt that ended without an answer.
-func (x *exchange) handleSendError(ctx context.Context, p catkinspindle.Placement, replica catkinspindle.Replica, result *catkinspindle.AttemptResult, err error) *catkinspindle.Failure {
-	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
-		result.Outcome, _ = connectOutcome(err)
-		x.logFailedAttempt(p, result.Outcome.String(), err)
-		return x.retryUnsent(ctx, result, p.Replica)
-	}
-	x.sent++
-	x.verdict = max(x.verdict, catkinspindle.MayHaveRun)
-	x.logFailedAttempt(p, "broken", err)
-	x.broke(replica, err, false)
-	return x.retrySent(ctx, result, p.Replica)
-}
-
-// handleRefusal handles an answer that states that the replica did not run the request.
-func (x *exchange) handleRefusal(ctx context.Context, p catkinspindle.Placement, answer *catkinspindle.Answer, result *catkinspindle.AttemptResult) *catkinspindle.Failure {
-	result.Outcome = catkinspindle.OutcomeRefused
-	result.FaultyReplica = x.resolveFaultyReplica(answer.FaultyReplica)
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, readChunk)) // Drained so that the connection can be reused.
-	x.logFailedAttempt(p, "refused, at fault: "+answer.FaultyReplica, nil)
-	if result.FaultyReplica != "" && result.FaultyReplica != p.Replica {
-		x.avoid = append(x.avoid, result.FaultyReplica)
-	}
-	return x.retrySent(ctx, result, p.Replica)
-}
-
-// retryUnsent excludes a replica to which the request was not sent. It returns nil if
-// another replica may be tried.
-func (x *exchange) retryUnsent(ctx context.Context, result *catkinspindle.AttemptResult, replica string) *catkinspindle.Failure {
-	x.unsent++
-	x.avoid = append(x.avoid, replica)
-	if x.unsent >= maxUnsent {
-		return x.fail(catkinspindle.ReasonNoBackend, "could not reach any replica within the attempt limit")
+	t := x.watch(ctx, a)
+	answered := x.send(a, helpers, probe)
+	for {
+		if answered {
+			done, f = x.forward(a, t)
+		}
+		next := x.settle(t, done || f != nil)
+		if ctx.Err() != nil && !done {
+			a.result.Outcome = catkinspindle.OutcomeGivenUp
+		}
+		x.end(a)
+		if next == nil {
+			break
+		}
+		x.recordPlacement(next.placement)
+		x.replica, x.verdict = next.replica.ID, catkinspindle.Ran
+		a, t, answered = next, x.watch(ctx, next), true
 	}
-	if ctx.Err() != nil {
-		result.Outcome = catkinspindle.OutcomeGivenUp
+	if done || f != nil {
+		return done, f
 	}
-	return nil
-}
-
-// retrySent excludes a replica that failed the request. It returns nil if the request may
-// be sent to another one.
-func (x *exchange) retrySent(ctx context.Context, result *catkinspindle.AttemptResult, replica string) *catkinspindle.Failure {
-	x.avoid = append(x.avoid, replica)
 	if f := x.contextFailure(ctx); f != nil {
-		result.Outcome = catkinspindle.OutcomeGivenUp
-		return f
-	}
-	if x.route.RetryMode == catkinspindle.RetryNever && x.verdict != catkinspindle.NotRun {
-		return x.fail(catkinspindle.ReasonBackendFailed, "the attempt failed and the route forbids a retry of a request that may have run")
-	}
-	if x.sent >= x.route.MaxAttempts {
-		return x.fail(catkinspindle.ReasonBackendFailed, "all attempts failed")
+		return false, f
 	}
-	return nil
+	return false, x.retryFailure()
 }
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -16,7 +16,7 @@
 // place has the request placed and records the placement and the time that it took.
 func (x *exchange) place(ctx context.Context, avoid []string) catkinspindle.Placement {
 	now := time.Now()
-	p := x.requestPlacement(ctx, avoid, x.sent > 0)
+	p := x.requestPlacement(ctx, avoid, x.arrivals() > 0)
 	x.placingTime += time.Since(now)
 	x.recordPlacement(p)
 	return p
@@ -126,45 +126,6 @@
 	}
 }
 
-// placeFailover places the request on another replica when the current one stalls. sent is
-// the number of attempts including the current one, avoid lists the replicas tried so far.
-func (x *exchange) placeFailover(ctx context.Context, sent int, avoid []string) bool {
-	if x.route.RetryMode == catkinspindle.RetryNever || sent >= x.route.MaxAttempts {
-		return false
-	}
-	p := x.requestPlacement(ctx, avoid, true)
-	if p.Refused() {
-		return false
-	}
-	if !x.gateway.budget.AllowRetry(time.Now(), x.service) {
-		x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
-		return false
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.failover = &p
-	return true
-}
-
-// takeFailover returns and clears the placement of placeFailover.
-func (x *exchange) takeFailover() (catkinspindle.Placement, bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.failover == nil {
-		return catkinspindle.Placement{}, false
-	}
-	p := *x.failover
-	x.failover = nil
-	return p, true
-}
-
-// releaseFailover ends the placement of placeFailover if it was not used.
-func (x *exchange) releaseFailover() {
-	if p, ok := x.takeFailover(); ok {
-		x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
-	}
-}
-
 func (x *exchange) recordPlacement(p catkinspindle.Placement) {
 	x.placedBy, x.expectedFirstEvent, x.helperCount, x.delay = p.PlacedBy, p.ExpectedFirstEvent, len(p.Helpers), p.Delay
 	x.expectedWait, x.slowdown = p.ExpectedWait, p.Slowdown
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -54,13 +54,11 @@
 	}
 }
 
-func (x *exchange) logFailedAttempt(p catkinspindle.Placement, outcome string, err error) {
-	attrs := []any{events.ReplicaFailed.Attr(), "request", x.envelope.ID, "replica", p.Replica, "helpers", len(p.Helpers), "outcome", outcome, "expected-first", p.ExpectedFirstEvent, "parts", x.envelope.SharedParts, "key", x.keys[len(x.keys)-1].String()}
+func (x *exchange) logFailedAttempt(a *attempt, outcome string, err error) {
+	p := a.placement
+	attrs := []any{events.ReplicaFailed.Attr(), "request", x.envelope.ID, "replica", p.Replica, "helpers", len(p.Helpers), "outcome", outcome, "standby", x.standby, "expected-first", p.ExpectedFirstEvent, "parts", x.envelope.SharedParts, "key", x.keys[len(x.keys)-1].String()}
 	if err != nil {
 		attrs = append(attrs, "error", err.Error())
 	}
-	if x.running.replica.ID == p.Replica {
-		attrs = append(attrs, x.running.attrs(x.gateway.silence)...)
-	}
-	x.gateway.log.Info("attempt failed", attrs...)
+	x.gateway.log.Info("attempt failed", append(attrs, a.attrs(x.gateway.silence)...)...)
 }
--- /dev/null
+++ b/gateway/takeover.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+const (
+	// standbyInterval is the interval between searches for a standby when none was found,
+	// standbyRetry the time after which another one is sought when a standby has failed.
+	standbyInterval = time.Second
+	standbyRetry    = 100 * time.Millisecond
+	// maxRejected bounds the rejections that do not count as attempts.
+	maxRejected = 4
+)
+
+var (
+	errTakenOver = errors.New("silent, and another replica delivered first")
+	errGoesOn    = errors.New("the other replica goes on")
+	errOver      = errors.New("the request has ended")
+)
+
+// takeover watches the running attempt of a request. When no event arrives within the stall
+// timeout, it sends the request to another replica as well. This second attempt, the standby,
+// takes over once it has delivered what the running one owes: the next event or a complete
+// answer. If the running attempt delivers first, the standby is ended.
+type takeover struct {
+	// ctx is the context of the request.
+	ctx     context.Context
+	running *attempt
+	timeout time.Duration
+	// exchange is the state of the request that the standbys use, one after the other; before
+	// is a copy of it as it was when the running attempt began.
+	exchange *exchange
+	before   exchange
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// done is closed when the standby that runs has ended or is proven; cancelStandby ends it.
+	done          chan struct{}
+	cancelStandby context.CancelCauseFunc
+	// proven is the standby that has taken over.
+	proven *attempt
+	// forwarding is true while an event is being written to the caller. stopped is true once no
+	// further standby may begin or take over.
+	forwarding, stopped bool
+	// begun, lastEventID and modelVersion are where a standby has to go on.
+	begun        bool
+	lastEventID  string
+	modelVersion string
+}
+
+// watch starts the takeover of a, which the caller ends with settle.
+func (x *exchange) watch(ctx context.Context, a *attempt) *takeover {
+	standby := *x
+	standby.standby = true
+	standby.sent++ // The running attempt.
+	standby.avoid = append(slices.Clone(x.avoid), a.placement.Replica)
+	t := &takeover{
+		ctx: ctx, running: a, timeout: x.stallTimeout(a.placement), exchange: &standby, before: standby,
+		begun: x.responseBegun, lastEventID: x.lastEventID, modelVersion: x.modelVersion,
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = x.route.RetryMode == catkinspindle.RetryNever
+	t.timer = time.AfterFunc(t.timeout, t.expire)
+	return t
+}
+
+// expire runs a standby until it is proven or has failed.
+func (t *takeover) expire() {
+	t.mu.Lock()
+	if t.stopped || t.forwarding || t.done != nil {
+		t.mu.Unlock()
+		return
+	}
+	x := t.exchange
+	x.responseBegun, x.lastEventID, x.modelVersion = t.begun, t.lastEventID, t.modelVersion
+	ctx, cancel := context.WithCancelCause(t.ctx)
+	done := make(chan struct{})
+	t.done, t.cancelStandby = done, cancel
+	t.mu.Unlock()
+
+	a, retryAfter := x.runStandby(ctx)
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer close(done)
+	t.done = nil
+	if a != nil && ctx.Err() == nil {
+		t.proven, t.stopped = a, true
+		t.running.cancel(errTakenOver)
+		return
+	}
+	if a != nil {
+		a.result.Outcome = catkinspindle.OutcomeGivenUp
+		x.end(a)
+	}
+	cancel(nil)
+	switch {
+	case t.stopped || t.forwarding:
+	case context.Cause(ctx) == errGoesOn:
+		t.timer.Reset(t.timeout)
+	case retryAfter > 0:
+		t.timer.Reset(min(t.timeout, retryAfter))
+	}
+}
+
+// receive is called with each event of the running attempt. It returns false if a standby has taken
+// over, so that the event must not be forwarded. Otherwise the caller forwards it and calls resume.
+func (t *takeover) receive() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.proven != nil {
+		return false
+	}
+	t.forwarding = true
+	t.timer.Stop()
+	if t.done != nil {
+		t.cancelStandby(errGoesOn)
+	}
+	return true
+}
+
+// resume starts the stall timeout again after an event of x has been forwarded.
+func (t *takeover) resume(x *exchange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forwarding = false
+	t.begun, t.lastEventID, t.modelVersion = x.responseBegun, x.lastEventID, x.modelVersion
+	if !t.stopped && t.done == nil {
+		t.timer.Reset(t.timeout)
+	}
+}
+
+// commit keeps standbys from taking over from now on. It returns false if one has taken over.
+func (t *takeover) commit() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.proven != nil {
+		return false
+	}
+	t.stopped = true
+	t.timer.Stop()
+	if t.done != nil {
+		t.cancelStandby(errGoesOn)
+	}
+	return true
+}
+
+// settle ends the takeover when the running attempt has ended. If the request is not over, it waits
+// for a standby that runs; it returns the one that goes on, if any. The standbys' attempts then count
+// as those of x.
+func (x *exchange) settle(t *takeover, over bool) *attempt {
+	t.mu.Lock()
+	t.timer.Stop()
+	done := t.done
+	if done == nil || over {
+		t.stopped = true
+	}
+	if done != nil && over {
+		t.cancelStandby(errOver)
+	}
+	t.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+	t.mu.Lock()
+	t.stopped = true
+	t.timer.Stop()
+	next := t.proven
+	t.mu.Unlock()
+	x.merge(t)
+	if next != nil && over {
+		next.result.Outcome = catkinspindle.OutcomeGivenUp
+		t.exchange.end(next)
+		return nil
+	}
+	return next
+}
+
+// merge adds the attempts of t's standbys to those of x, once.
+func (x *exchange) merge(t *takeover) {
+	o, b := t.exchange, &t.before
+	x.sent += o.sent - b.sent
+	x.rejected += o.rejected - b.rejected
+	x.unsent += o.unsent - b.unsent
+	x.unusable += o.unusable - b.unusable
+	x.verdict = max(x.verdict, o.verdict)
+	x.avoid = append(x.avoid, o.avoid[len(b.avoid):]...)
+	x.attemptCount = max(x.attemptCount, o.attemptCount)
+	x.placingTime += o.placingTime - b.placingTime
+	t.before = *o
+}
+
+// runStandby sends the request to another replica. It returns the attempt once it is proven, or the
+// time after which another standby may be sought, zero if none may.
+func (x *exchange) runStandby(ctx context.Context) (proven *attempt, retryAfter time.Duration) {
+	if x.retryFailure() != nil || x.unusable >= maxUnusable || x.heldFailure() != nil {
+		return nil, 0
+	}
+	p := x.place(ctx, x.avoid)
+	if p.Refused() {
+		return nil, standbyInterval
+	}
+	if !x.gateway.budget.AllowRetry(time.Now(), x.service) {
+		x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+		return nil, standbyInterval
+	}
+	if x.waitDelay(ctx, p) != nil {
+		return nil, standbyInterval
+	}
+	a := newAttempt(ctx, p)
+	helpers, probe, ok, _ := x.prepare(a)
+	if ok && x.send(a, helpers, probe) && x.prove(a) {
+		return a, 0
+	}
+	if ctx.Err() != nil {
+		a.result.Outcome = catkinspindle.OutcomeGivenUp
+	}
+	x.end(a)
+	return nil, standbyRetry
+}
+
+// prove reads the next event of a stream, or the whole answer if it is no stream, and reports whether
+// the replica has delivered it.
+func (x *exchange) prove(a *attempt) bool {
+	if !x.isStream(a) {
+		return x.provePlain(a)
+	}
+	for {
+		event, err := a.next()
+		if err == nil && event.CommentOnly {
+			continue
+		}
+		if err == nil {
+			err = x.checkSequence(event, x.responseBegun)
+		}
+		switch {
+		case errors.Is(err, errDuplicateEvent):
+			continue
+		case err == nil || errors.Is(err, io.EOF):
+			a.peeked = &peekedEvent{event, err}
+			a.result.TimeToFirstEvent = time.Since(a.startedAt)
+			x.receiveData(a)
+			return true
+		}
+		x.handleBroken(a, "stream broken after event "+x.lastEventID, err, false)
+		return false
+	}
+}
+
+func (x *exchange) provePlain(a *attempt) bool {
+	if err := a.readBody(); err != nil {
+		x.handleBroken(a, "broken", err, false)
+		return false
+	}
+	if status := a.answer.Status; x.responseBegun || status >= http.StatusInternalServerError {
+		x.avoid = append(x.avoid, a.placement.Replica)
+		x.logFailedAttempt(a, "failed with status "+strconv.Itoa(status), nil)
+		return false
+	}
+	a.result.TimeToFirstEvent = time.Since(a.startedAt)
+	return true
+}
+
+// handleBroken handles an attempt whose answer broke. begun is true if the replica has survived the
+// begin of its answer.
+func (x *exchange) handleBroken(a *attempt, outcome string, err error, begun bool) {
+	x.avoid = append(x.avoid, a.placement.Replica)
+	takenOver := errors.Is(context.Cause(a.ctx), errTakenOver)
+	if a.ctx.Err() != nil && !takenOver {
+		a.result.Outcome = catkinspindle.OutcomeGivenUp
+		return
+	}
+	x.logFailedAttempt(a, outcome, err)
+	x.broke(a.replica, err, begun || takenOver)
+}
+
+// lose handles an attempt that has delivered something after a standby took over or the request
+// ended. It returns nil.
+func (x *exchange) lose(a *attempt) *catkinspindle.Failure {
+	x.handleBroken(a, "too late", context.Cause(a.ctx), true)
+	return nil
+}
