Wait while most replicas of the service are silent

Cause: silence of one replica was taken for its failure while most of the service was silent. Class: silence is taken for failure on what one attempt sees.

A node now knows of which replicas it awaits data, and begins no standby while most of the others are silent or were until 300 ms ago, for at most 600 ms over the stall timeout; a standby avoids silent replicas. One that hangs alone is left as before. A timer that had expired when an event arrived no longer begins a standby.

--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -18,6 +18,12 @@
 	// standbyRetry the time after which another one is sought when a standby has failed.
 	standbyInterval = time.Second
 	standbyRetry    = 100 * time.Millisecond
+	// silenceInterval is the interval at which a takeover checks whether most replicas are still
+	// silent. It gives a replica returnTime to go on after the others, and waits for at most
+	// maxPatience after the stall timeout.
+	silenceInterval = 100 * time.Millisecond
+	returnTime      = 300 * time.Millisecond
+	maxPatience     = 600 * time.Millisecond
 	// maxRejected bounds the rejections that do not count as attempts.
 	maxRejected = 4
 )
@@ -49,6 +55,10 @@
 	cancelStandby context.CancelCauseFunc
 	// proven is the standby that has taken over.
 	proven *attempt
+	// quietSince is when the running attempt began or an event was last forwarded.
+	quietSince time.Time
+	// sharedUntil is when most other replicas were last known to be silent too.
+	sharedUntil time.Time
 	// forwarding is true while an event is being written to the caller. stopped is true once no
 	// further standby may begin or take over.
 	forwarding, stopped bool
@@ -66,7 +76,7 @@
 	standby.avoid = append(slices.Clone(x.avoid), a.placement.Replica)
 	t := &takeover{
 		ctx: ctx, running: a, timeout: x.stallTimeout(a.placement), exchange: &standby, before: standby,
-		begun: x.responseBegun, lastEventID: x.lastEventID, modelVersion: x.modelVersion,
+		quietSince: time.Now(), begun: x.responseBegun, lastEventID: x.lastEventID, modelVersion: x.modelVersion,
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -82,6 +92,18 @@
 		t.mu.Unlock()
 		return
 	}
+	now := time.Now()
+	if left := t.timeout - now.Sub(t.quietSince); left > 0 {
+		// The timer had expired already when an event stopped it.
+		t.timer.Reset(left)
+		t.mu.Unlock()
+		return
+	}
+	if t.silenceIsShared(now) {
+		t.timer.Reset(silenceInterval)
+		t.mu.Unlock()
+		return
+	}
 	x := t.exchange
 	x.responseBegun, x.lastEventID, x.modelVersion = t.begun, t.lastEventID, t.modelVersion
 	ctx, cancel := context.WithCancelCause(t.ctx)
@@ -114,6 +136,16 @@
 	}
 }
 
+// silenceIsShared reports whether most other replicas are silent too, or were until a moment ago.
+// Another one would then hardly answer sooner, and those that return would have more to do. The
+// caller holds t.mu.
+func (t *takeover) silenceIsShared(now time.Time) bool {
+	if t.exchange.gateway.silence.Prevails(now, t.running.replica) {
+		t.sharedUntil = now
+	}
+	return now.Sub(t.sharedUntil) < returnTime && now.Sub(t.quietSince) < t.timeout+maxPatience
+}
+
 // receive is called with each event of the running attempt. It returns false if a standby has taken
 // over, so that the event must not be forwarded. Otherwise the caller forwards it and calls resume.
 func (t *takeover) receive() bool {
@@ -134,7 +166,7 @@
 func (t *takeover) resume(x *exchange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forwarding = false
+	t.forwarding, t.quietSince = false, time.Now()
 	t.begun, t.lastEventID, t.modelVersion = x.responseBegun, x.lastEventID, x.modelVersion
 	if !t.stopped && t.done == nil {
 		t.timer.Reset(t.timeout)
@@ -207,7 +239,7 @@
 	if x.retryFailure() != nil || x.unusable >= maxUnusable || x.heldFailure() != nil {
 		return nil, 0
 	}
-	p := x.place(ctx, x.avoid)
+	p := x.place(ctx, slices.Concat(x.avoid, x.gateway.silence.Silent(time.Now(), x.service)))
 	if p.Refused() {
 		return nil, standbyInterval
 	}
--- a/silence/table.go
+++ b/silence/table.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// Silent returns the IDs of the silent replicas of a service.
+func (t *Table) Silent(now time.Time, service string) (ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		if e.replica.Service == service && e.silent(now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Prevails reports whether most of the other replicas of r's service that data is awaited from are
+// silent.
+func (t *Table) Prevails(now time.Time, r catkinspindle.Replica) bool {
+	silent, awaited := t.Others(now, r)
+	return 2*silent > awaited
+}
+
 // Others returns how many other replicas of r's service data is awaited from, and how many of
 // them are silent.
 func (t *Table) Others(now time.Time, r catkinspindle.Replica) (silent, awaited int) {
