Do not measure shared silence as slowness of a replica

What callers saw: after silence of the whole service requests refused by the checks first-event and deadline for seconds.

Cause: the time to the first event of a request that waited through the silence was reported as that of its replica, up to eight times the estimate; five such answers make every replica look five times slower, and estimates and admission follow. The planner needs several answers a replica to forget.

Times are no longer reported when the replica was silent and most others were too. A replica that is slow or silent alone is measured as before. The report to the coordinator has no new field, so nodes of earlier builds read it.

TestSharedSilenceIsNotMeasuredAsSlowness failed before (all are paused: 1.1 s each).

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -29,7 +29,7 @@
 		return false, nil
 	}
 	answer := a.answer
-	a.result.TimeToFirstEvent = time.Since(a.startedAt)
+	x.receiveData(a)
 	if answer.Status/100 == 2 {
 		x.recordBegun()
 	}
@@ -163,7 +163,7 @@
 			if received++; received == harmlessEvents {
 				x.recordBegun()
 			}
-			x.recordEvent(a)
+			x.recordEvent()
 		}
 		if f := x.writeEvent(control, a, event); f != nil {
 			return false, f
@@ -175,11 +175,8 @@
 }
 
 // recordEvent records the times of an event.
-func (x *exchange) recordEvent(a *attempt) {
+func (x *exchange) recordEvent() {
 	now := time.Now()
-	if a.result.TimeToFirstEvent == 0 {
-		a.result.TimeToFirstEvent = now.Sub(a.startedAt)
-	}
 	if x.timeToFirstEvent == 0 {
 		x.timeToFirstEvent = now.Sub(x.arrivedAt)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,8 @@
 	peeked *peekedEvent
 	// body has the begin of an answer that is no stream, at most maxBufferedBytes and one byte.
 	body []byte
+	// unmeasured is true if the attempt's times must not count as those of its replica.
+	unmeasured bool
 	// dataAt is when the request was sent or data last arrived.
 	dataAt time.Time
 }
@@ -123,10 +125,19 @@
 	return helpers, probe, true, nil
 }
 
-// receiveData records that an event of a has arrived.
+// receiveData records that an event of a, or its whole answer, has arrived.
 func (x *exchange) receiveData(a *attempt) {
 	a.dataAt = time.Now()
-	x.gateway.silence.Receive(a.dataAt, a.replica, a.placement.JobID, x.route.MaxEventGap)
+	t := x.gateway.silence
+	wasSilent := t.Receive(a.dataAt, a.replica, a.placement.JobID, x.route.MaxEventGap)
+	if a.result.TimeToFirstEvent > 0 {
+		return
+	}
+	a.result.TimeToFirstEvent = a.dataAt.Sub(a.startedAt)
+	if wasSilent && t.Prevails(a.dataAt, a.replica) {
+		// The whole service was silent, which says nothing about the speed of this replica.
+		a.unmeasured = true
+	}
 }
 
 // send sends the request once and applies the replica's state that the answer reports. answered is
@@ -173,6 +184,9 @@
 	x.gateway.silence.End(a.replica, a.placement.JobID)
 	a.release()
 	a.result.Duration = time.Since(a.startedAt)
+	if a.unmeasured {
+		a.result.TimeToFirstEvent, a.result.Duration = 0, 0
+	}
 	if a.reservationErr != nil {
 		x.reportReservation(a.result, a.reservationErr)
 		return
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -69,6 +69,7 @@
 	steps          []scriptedAnswer
 	attempts       []catkinspindle.Attempt
 	outcomes       []catkinspindle.Outcome
+	firstEvents    []time.Duration
 	departed       []catkinspindle.Departure
 	faultyReplicas []string
 	avoided        [][]string
@@ -131,6 +132,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.outcomes = append(w.outcomes, result.Outcome)
+	w.firstEvents = append(w.firstEvents, result.TimeToFirstEvent)
 	w.faultyReplicas = append(w.faultyReplicas, result.FaultyReplica)
 	if result.Departure != nil {
 		w.departed = append(w.departed, *result.Departure)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -112,3 +112,27 @@
 		})
 	}
 }
+
+// Times that a silence of the whole service extended are not reported as those of its replicas.
+func TestSharedSilenceIsNotMeasuredAsSlowness(t *testing.T) {
+	pause := [2]time.Duration{0, 1100 * time.Millisecond}
+	tests := map[string]struct {
+		pauses   map[string][2]time.Duration
+		measured []time.Duration
+	}{
+		"all are paused": {map[string][2]time.Duration{"r1": pause, "r2": pause, "r3": pause}, []time.Duration{0, 0, 0}},
+		"one is paused":  {map[string][2]time.Duration{"r1": pause}, []time.Duration{100 * time.Millisecond, 100 * time.Millisecond, 1100 * time.Millisecond}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				replicas := &pausedReplicas{fakeCluster: &fakeCluster{}, pauses: tt.pauses, events: 30}
+				serveOnEach(t, replicas)
+				slices.Sort(replicas.firstEvents)
+				if diff := cmp.Diff(tt.measured, replicas.firstEvents); diff != "" {
+					t.Errorf("times to the first event (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -19,10 +19,8 @@
 	standbyInterval = time.Second
 	standbyRetry    = 100 * time.Millisecond
 	// silenceInterval is the interval at which a takeover checks whether most replicas are still
-	// silent. It gives a replica returnTime to go on after the others, and waits for at most
-	// maxPatience after the stall timeout.
+	// silent, maxPatience how long after the stall timeout it waits for that.
 	silenceInterval = 100 * time.Millisecond
-	returnTime      = 300 * time.Millisecond
 	maxPatience     = 600 * time.Millisecond
 	// maxRejected bounds the rejections that do not count as attempts.
 	maxRejected = 4
@@ -57,8 +55,6 @@
 	proven *attempt
 	// quietSince is when the running attempt began or an event was last forwarded.
 	quietSince time.Time
-	// sharedUntil is when most other replicas were last known to be silent too.
-	sharedUntil time.Time
 	// forwarding is true while an event is being written to the caller. stopped is true once no
 	// further standby may begin or take over.
 	forwarding, stopped bool
@@ -99,7 +95,8 @@
 		t.mu.Unlock()
 		return
 	}
-	if t.silenceIsShared(now) {
+	if now.Sub(t.quietSince) < t.timeout+maxPatience && t.exchange.gateway.silence.Prevails(now, t.running.replica) {
+		// Another replica would hardly answer sooner, and those that return would have more to do.
 		t.timer.Reset(silenceInterval)
 		t.mu.Unlock()
 		return
@@ -136,16 +133,6 @@
 	}
 }
 
-// silenceIsShared reports whether most other replicas are silent too, or were until a moment ago.
-// Another one would then hardly answer sooner, and those that return would have more to do. The
-// caller holds t.mu.
-func (t *takeover) silenceIsShared(now time.Time) bool {
-	if t.exchange.gateway.silence.Prevails(now, t.running.replica) {
-		t.sharedUntil = now
-	}
-	return now.Sub(t.sharedUntil) < returnTime && now.Sub(t.quietSince) < t.timeout+maxPatience
-}
-
 // receive is called with each event of the running attempt. It returns false if a standby has taken
 // over, so that the event must not be forwarded. Otherwise the caller forwards it and calls resume.
 func (t *takeover) receive() bool {
@@ -281,7 +268,6 @@
 			continue
 		case err == nil || errors.Is(err, io.EOF):
 			a.peeked = &peekedEvent{event, err}
-			a.result.TimeToFirstEvent = time.Since(a.startedAt)
 			x.receiveData(a)
 			return true
 		}
@@ -300,7 +286,7 @@
 		x.logFailedAttempt(a, "failed with status "+strconv.Itoa(status), nil)
 		return false
 	}
-	a.result.TimeToFirstEvent = time.Since(a.startedAt)
+	x.receiveData(a)
 	return true
 }
 
--- a/silence/table.go
+++ b/silence/table.go
@@ -10,8 +10,13 @@
 	"github.com/catkinspindle/catkinspindle"
 )
 
-// minSilence is the time without data below which no replica counts as silent.
-const minSilence = 400 * time.Millisecond
+const (
+	// minSilence is the time without data below which no replica counts as silent.
+	minSilence = 400 * time.Millisecond
+	// returnTime is how long after its silence a replica still counts for Prevails: replicas
+	// that were silent together do not return at the same instant.
+	returnTime = 300 * time.Millisecond
+)
 
 // Table holds the replicas from which data is awaited. It is safe for concurrent use.
 type Table struct {
@@ -24,6 +29,8 @@
 	replica catkinspindle.Replica
 	// quietSince is when data last arrived, or when the first attempt began to wait.
 	quietSince time.Time
+	// returnedAt is when data last arrived after a silence.
+	returnedAt time.Time
 	// due is the time by which each attempt expects data.
 	due map[string]time.Time
 }
@@ -56,16 +63,20 @@
 }
 
 // Receive records that data has arrived for an attempt at r, which expects more within the given
-// time.
-func (t *Table) Receive(now time.Time, r catkinspindle.Replica, attempt string, within time.Duration) {
+// time. It reports whether r was silent until then.
+func (t *Table) Receive(now time.Time, r catkinspindle.Replica, attempt string, within time.Duration) (wasSilent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[r.ID]
 	if !ok || !e.replica.SameIncarnation(r) {
-		return
+		return false
+	}
+	if wasSilent = e.silent(now); wasSilent {
+		e.returnedAt = now
 	}
 	e.quietSince = now
 	e.due[attempt] = now.Add(max(minSilence, within))
+	return wasSilent
 }
 
 // End records that an attempt at r awaits no more data.
@@ -94,15 +105,21 @@
 }
 
 // Prevails reports whether most of the other replicas of r's service that data is awaited from are
-// silent.
+// silent, or have been until a moment ago.
 func (t *Table) Prevails(now time.Time, r catkinspindle.Replica) bool {
-	silent, awaited := t.Others(now, r)
+	silent, awaited := t.count(r, func(e *entry) bool { return e.silent(now) || now.Sub(e.returnedAt) < returnTime })
 	return 2*silent > awaited
 }
 
 // Others returns how many other replicas of r's service data is awaited from, and how many of
 // them are silent.
 func (t *Table) Others(now time.Time, r catkinspindle.Replica) (silent, awaited int) {
+	return t.count(r, func(e *entry) bool { return e.silent(now) })
+}
+
+// count returns how many other replicas of r's service data is awaited from, and how many of them
+// match.
+func (t *Table) count(r catkinspindle.Replica, match func(*entry) bool) (matching, awaited int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.entries {
@@ -110,9 +127,9 @@
 			continue
 		}
 		awaited++
-		if e.silent(now) {
-			silent++
+		if match(e) {
+			matching++
 		}
 	}
-	return silent, awaited
+	return matching, awaited
 }
