--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -61,13 +61,13 @@
 	}
 }
 
-// serveOnEach serves one stream on each of three replicas at the same time and returns the number of
-// attempts.
-func serveOnEach(t *testing.T, replicas *pausedReplicas) int {
+// serveOnEach serves one stream on each of the given replicas at the same time and returns the number
+// of attempts.
+func serveOnEach(t *testing.T, replicas *pausedReplicas, ids ...string) int {
 	t.Helper()
 	g := newGateway(replicas.fakeCluster, replicas, 9, true)
 	var group errgroup.Group
-	for _, id := range []string{"r1", "r2", "r3"} {
+	for _, id := range ids {
 		replicas.mu.Lock()
 		replicas.preferred = slices.Compact([]string{id, "r2", "r3"})
 		replicas.mu.Unlock()
@@ -104,7 +104,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				attempts := serveOnEach(t, &pausedReplicas{fakeCluster: &fakeCluster{}, pauses: tt.pauses, events: 30})
+				attempts := serveOnEach(t, &pausedReplicas{fakeCluster: &fakeCluster{}, pauses: tt.pauses, events: 30}, "r1", "r2", "r3")
 				if diff := cmp.Diff(tt.attempts, attempts); diff != "" {
 					t.Errorf("attempts (-want +got):\n%s", diff)
 				}
@@ -127,7 +127,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				replicas := &pausedReplicas{fakeCluster: &fakeCluster{}, pauses: tt.pauses, events: 30}
-				serveOnEach(t, replicas)
+				serveOnEach(t, replicas, "r1", "r2", "r3")
 				slices.Sort(replicas.firstEvents)
 				if diff := cmp.Diff(tt.measured, replicas.firstEvents); diff != "" {
 					t.Errorf("times to the first event (-want +got):\n%s", diff)
@@ -136,3 +136,13 @@
 		})
 	}
 }
+
+func TestNoStandbyOnIdleReplicaWhileTheOthersAreSilent(t *testing.T) {
+	pause := [2]time.Duration{200 * time.Millisecond, 1500 * time.Millisecond}
+	synctest.Test(t, func(t *testing.T) {
+		replicas := &pausedReplicas{fakeCluster: &fakeCluster{}, pauses: map[string][2]time.Duration{"r1": pause, "r2": pause}, events: 30}
+		if diff := cmp.Diff(2, serveOnEach(t, replicas, "r1", "r2")); diff != "" {
+			t.Errorf("attempts (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,14 +24,19 @@
 // connection.
 func serveAborted(g http.Handler, path string) (answer deadlineRecorder, aborted bool) {
 	answer = deadlineRecorder{httptest.NewRecorder()}
+	return answer, serveTo(g, answer, newRequest(path))
+}
+
+// serveTo is serveAborted for a given request, whose answer is written to w.
+func serveTo(g http.Handler, w http.ResponseWriter, r *http.Request) (aborted bool) {
 	defer func() {
 		if r := recover(); r != nil && r != http.ErrAbortHandler {
 			panic(r)
 		}
 	}()
 	aborted = true
-	g.ServeHTTP(answer, newRequest(path))
-	return answer, false
+	g.ServeHTTP(w, r)
+	return false
 }
 
 func TestSilentStreamIsNotCutWhileItsReplicaMayGoOn(t *testing.T) {
@@ -122,3 +128,46 @@
 		})
 	}
 }
+
+// slowCaller is a caller that takes each event after a delay.
+type slowCaller struct {
+	deadlineRecorder
+	delay time.Duration
+}
+
+// Write implements http.ResponseWriter.
+func (c slowCaller) Write(b []byte) (int, error) {
+	time.Sleep(c.delay)
+	return c.deadlineRecorder.Write(b)
+}
+
+func TestSlowCallerIsNotTakenForSilentReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeCluster{steps: []scriptedAnswer{{status: 200, body: firstEvent + secondEvent + thirdEvent}, {status: 200, body: secondEvent + thirdEvent}}}
+		caller := slowCaller{deadlineRecorder{httptest.NewRecorder()}, 3 * time.Second}
+		if serveTo(newGateway(w, w, 9, true), caller, newRequest("/quick/")) {
+			t.Error("the caller's connection was aborted")
+		}
+		if diff := cmp.Diff(firstEvent+secondEvent+thirdEvent, caller.Body.String()); diff != "" {
+			t.Errorf("stream (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff([]string{"r1"}, w.sentTo()); diff != "" {
+			t.Errorf("replicas (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// The caller already has a part of an answer over the buffer limit, which no other replica can continue.
+func TestLargeAnswerThatHasBegunIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		large := strings.Repeat("x", 300<<10)
+		w := &fakeCluster{steps: []scriptedAnswer{{status: 200, body: large, rest: "end", pause: 3 * time.Second}, okAnswer}}
+		answer, aborted := serveAborted(newGateway(w, w, 9, true), "/quick-any/")
+		if body := answer.Body.String(); aborted || body != large+"end" {
+			t.Errorf("aborted %t after %d bytes, want all %d", aborted, len(body), len(large)+3)
+		}
+		if diff := cmp.Diff([]string{"r1"}, w.sentTo()); diff != "" {
+			t.Errorf("replicas (-want +got):\n%s", diff)
+		}
+	})
+}
