--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -115,7 +116,7 @@
 			avoided = avoided || a == id
 		}
 		if !avoided {
-			p := catkinspindle.Placement{JobID: "j", Replica: id, RatePermit: w.permits}
+			p := catkinspindle.Placement{JobID: "j" + strconv.Itoa(w.placed), Replica: id, RatePermit: w.permits}
 			if w.reserveTime > 0 {
 				p.Helpers, p.HelperTokens = []string{"r3"}, []int{1}
 			}
@@ -250,6 +251,7 @@
 			route("/once/", catkinspindle.RetryNever, false, 1), route("/once-of-three/", catkinspindle.RetryNever, false, 3), route("/any/", catkinspindle.RetryAlways, false, 2),
 			route("/stream/", catkinspindle.RetryResume, true, 2), route("/stream-of-three/", catkinspindle.RetryResume, true, 3), open, brief, patient,
 			quick(route("/quick/", catkinspindle.RetryResume, true, 2)), short(route("/short-once/", catkinspindle.RetryNever, false, 1)), short(route("/short/", catkinspindle.RetryResume, true, 2)), quick(route("/quick-any/", catkinspindle.RetryAlways, false, 2)),
+			quick(route("/quick-of-three/", catkinspindle.RetryResume, true, 3)), quick(route("/quick-once-of-three/", catkinspindle.RetryNever, false, 3)),
 		},
 		Services:      []catkinspindle.ReplicaService{{Name: "s"}},
 		Limits:        catkinspindle.TrafficLimits{MaxBody: 1000},
