Add a failing test of a standby that hangs

A standby is not watched for silence, and settle waits for it without a limit. When it hangs, the third replica of a route with three attempts is never tried: a plain request whose two replicas hang gets 504 at its timeout, also when the first one broke 0.1 s after the standby began.

Three stall timeouts are its bound: the route allows three replicas. The fake's rest may be followed by a broken connection now; no test had both.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -163,7 +163,7 @@
 		end = repeatingReader{ctx, s.repeated}
 	}
 	if s.rest != "" {
-		end = io.MultiReader(pausingReader{ctx, s.pause}, strings.NewReader(s.rest))
+		end = io.MultiReader(pausingReader{ctx, s.pause}, strings.NewReader(s.rest), end)
 	}
 	return &catkinspindle.Answer{
 		AnswerHead: catkinspindle.AnswerHead{Status: s.status, NotRun: s.notRun, FaultyReplica: s.faultyReplica, Leaving: s.leaving, Cooldown: s.cooldown, RateLimit: s.rateLimit, Sealed: s.sealed, Header: http.Header{"Response-Seal": {a.Replica.ID}}},
@@ -251,7 +251,7 @@
 			route("/once/", catkinspindle.RetryNever, false, 1), route("/once-of-three/", catkinspindle.RetryNever, false, 3), route("/any/", catkinspindle.RetryAlways, false, 2),
 			route("/stream/", catkinspindle.RetryResume, true, 2), route("/stream-of-three/", catkinspindle.RetryResume, true, 3), open, brief, patient,
 			quick(route("/quick/", catkinspindle.RetryResume, true, 2)), short(route("/short-once/", catkinspindle.RetryNever, false, 1)), short(route("/short/", catkinspindle.RetryResume, true, 2)), quick(route("/quick-any/", catkinspindle.RetryAlways, false, 2)),
-			quick(route("/quick-of-three/", catkinspindle.RetryResume, true, 3)), quick(route("/quick-once-of-three/", catkinspindle.RetryNever, false, 3)),
+			quick(route("/quick-of-three/", catkinspindle.RetryResume, true, 3)), quick(route("/quick-any-of-three/", catkinspindle.RetryAlways, false, 3)), quick(route("/quick-once-of-three/", catkinspindle.RetryNever, false, 3)),
 		},
 		Services:      []catkinspindle.ReplicaService{{Name: "s"}},
 		Limits:        catkinspindle.TrafficLimits{MaxBody: 1000},
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -171,3 +171,28 @@
 		}
 	})
 }
+
+// A standby that hangs does not keep the request from the last replica that the route allows. Three
+// stall timeouts suffice for that.
+func TestHungStandbyIsLeftForOneThatAnswers(t *testing.T) {
+	hung := scriptedAnswer{status: 200, silent: true}
+	tests := map[string][]scriptedAnswer{
+		"both hang":        {hung, hung, okAnswer},
+		"the first breaks": {{status: 200, rest: "fi", pause: 1300 * time.Millisecond, broken: true}, hung, okAnswer},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &fakeCluster{steps: steps}
+				start := time.Now()
+				answer, aborted := serveAborted(newGateway(w, w, 9, true), "/quick-any-of-three/")
+				if took := time.Since(start); aborted || answer.Body.String() != "fine" || took > 3*1200*time.Millisecond {
+					t.Errorf("status %d, body %q, aborted %t after %v; want the answer of the third replica", answer.Code, answer.Body, aborted, took)
+				}
+				if diff := cmp.Diff([]string{"r1", "r2", "r3"}, w.sentTo()); diff != "" {
+					t.Errorf("replicas (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
