Watch standbys, and doubt their errors and ends

- a standby that hung was watched by nobody, and a running attempt that broke waited for it without a limit.
Standbys are now watched like the first attempt;
- after a takeover the new attempt was counted twice, so no other one followed;
- an error or an empty end from a standby ended a sound attempt.
It now has 500 ms to deliver, then the error or the end is passed on; a standby's 500 is no longer dropped, nor is one held back for a silent standby for longer than the timeout;
- a comment began the response without the takeover knowing;
- memory of a broken attempt stayed reserved until its standby had ended;
- a standby that was no longer needed was still sent, and spent the retry budget;
- a standby could begin while the exchange was being settled (a data race);
- a replica that delivered too late was reported as failed.

The stall timeout within a stream no longer includes the estimate of its first event, and the patience in shared silence is 400 ms instead of 600 ms: callers leave after 2 s.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -41,7 +41,7 @@
 	if answer.Status >= http.StatusInternalServerError {
 		x.avoid = append(x.avoid, a.placement.Replica)
 		x.logFailedAttempt(a, "failed with status "+strconv.Itoa(answer.Status), nil)
-		if x.route.RetryMode != catkinspindle.RetryNever && (x.settle(t, false) != nil || (t.ctx.Err() == nil && x.retryFailure() == nil)) {
+		if x.route.RetryMode != catkinspindle.RetryNever && (x.settle(t, false, t.timeout) != nil || (t.ctx.Err() == nil && x.retryFailure() == nil)) {
 			return false, nil
 		}
 	}
@@ -152,7 +152,7 @@
 			x.handleBroken(a, "stream broken after event "+x.lastEventID, err, received >= harmlessEvents)
 			return false, nil
 		}
-		if event.CommentOnly && a.ctx.Err() != nil {
+		if event.CommentOnly && (a.ctx.Err() != nil || (!x.responseBegun && !t.begin(a.answer.Version))) {
 			return false, x.lose(a)
 		}
 		if !event.CommentOnly {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,6 +26,9 @@
 	release        func()
 	answer         *catkinspindle.Answer
 	events         *eventstream.Reader
+	// counted is true once the attempt is in the count of sent ones.
+	counted bool
+	closed  bool
 	// peeked is an event that has been read and not yet been forwarded, or the end of the stream.
 	peeked *peekedEvent
 	// body has the begin of an answer that is no stream, at most maxBufferedBytes and one byte.
@@ -165,18 +168,24 @@
 		return false
 	}
 	a.answer = answer
+	x.gateway.silence.Receive(time.Now(), a.replica, a.placement.JobID, 2*a.placement.ExpectedFirstEvent)
 	if answer.NotRun {
 		x.handleRejection(a)
 		return false
 	}
 	x.sent++
+	a.counted = true
 	x.verdict = catkinspindle.Ran
 	a.events = eventstream.NewReader(answer.Body)
 	return true
 }
 
-// end closes the attempt's connection, releases its memory and reports its result.
+// end closes the attempt's connection, releases its memory and reports its result, once.
 func (x *exchange) end(a *attempt) {
+	if a.closed {
+		return
+	}
+	a.closed = true
 	if a.answer != nil {
 		_ = a.answer.Body.Close() // It has been read, or is of no more use.
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -175,22 +175,23 @@
 // true when the caller has its answer; if done is false and f is nil, another attempt follows.
 func (x *exchange) attempt(ctx context.Context, p catkinspindle.Placement) (done bool, f *catkinspindle.Failure) {
 	a := newAttempt(ctx, p)
+	defer func() { x.end(a) }()
 	helpers, probe, ok, f := x.prepare(a)
 	if !ok {
-		x.end(a)
 		return false, f
 	}
 	t := x.watch(ctx, a)
+	defer func() { x.settle(t, true, 0) }()
 	answered := x.send(a, helpers, probe)
 	for {
 		if answered {
 			done, f = x.forward(a, t)
 		}
-		next := x.settle(t, done || f != nil)
 		if ctx.Err() != nil && !done {
 			a.result.Outcome = catkinspindle.OutcomeGivenUp
 		}
 		x.end(a)
+		next := x.settle(t, done || f != nil, 0)
 		if next == nil {
 			break
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -85,6 +85,10 @@
 	// permits sets RatePermit in all placements; reserveTime is how long a reservation takes.
 	permits     bool
 	reserveTime time.Duration
+	// retryPlacingTime is how long the placement of a retry takes; releases has the times at which
+	// reservations ended.
+	retryPlacingTime time.Duration
+	releases         []time.Time
 	// leaving is the replica that begins to leave right after a placement.
 	leaving string
 	view    *view.View
@@ -93,6 +97,9 @@
 }
 
 func (w *fakeCluster) Place(_ context.Context, j catkinspindle.Job) catkinspindle.Placement {
+	if j.MayBePartial {
+		time.Sleep(w.retryPlacingTime)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.refusal != nil {
@@ -174,7 +181,11 @@
 func (w *fakeCluster) Acquire(context.Context, []catkinspindle.Reservation) (func(), error) {
 	time.Sleep(w.reserveTime)
 	w.reserveTime = 0
-	return func() {}, nil
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.releases = append(w.releases, time.Now())
+	}, nil
 }
 
 type failingReader struct{ err error }
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -219,5 +219,11 @@
 	if !x.route.Streaming {
 		return max(minStallTimeout, 4*x.route.LatencyObjective)
 	}
-	return max(minStallTimeout, 3*p.ExpectedFirstEvent, 3*x.route.MaxEventGap, 2*x.route.LatencyObjective)
+	return max(x.eventTimeout(), 3*p.ExpectedFirstEvent)
+}
+
+// eventTimeout returns the time after an event without another one after which the replica counts as
+// stalled.
+func (x *exchange) eventTimeout() time.Duration {
+	return max(minStallTimeout, 3*x.route.MaxEventGap, 2*x.route.LatencyObjective)
 }
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -18,10 +17,13 @@
 	// standbyRetry the time after which another one is sought when a standby has failed.
 	standbyInterval = time.Second
 	standbyRetry    = 100 * time.Millisecond
+	// doubtTime is how long the running attempt may still deliver when a standby has answered with
+	// an error or with the end of the stream.
+	doubtTime = 500 * time.Millisecond
 	// silenceInterval is the interval at which a takeover checks whether most replicas are still
 	// silent, maxPatience how long after the stall timeout it waits for that.
 	silenceInterval = 100 * time.Millisecond
-	maxPatience     = 600 * time.Millisecond
+	maxPatience     = 400 * time.Millisecond
 	// maxRejected bounds the rejections that do not count as attempts.
 	maxRejected = 4
 )
@@ -40,14 +42,18 @@
 	// ctx is the context of the request.
 	ctx     context.Context
 	running *attempt
-	timeout time.Duration
-	// exchange is the state of the request that the standbys use, one after the other; before
-	// is a copy of it as it was when the running attempt began.
+	// exchange is the state of the request that the standbys use, one after the other. It belongs
+	// to the goroutine of a standby while done is set, and to that of the request once settle has
+	// stopped the takeover. before is a copy of it when its attempts were last counted.
 	exchange *exchange
 	before   exchange
+	// ended is closed when the running attempt has ended.
+	ended    chan struct{}
+	endsOnce sync.Once
 
-	mu    sync.Mutex
-	timer *time.Timer
+	mu      sync.Mutex
+	timer   *time.Timer
+	timeout time.Duration
 	// done is closed when the standby that runs has ended or is proven; cancelStandby ends it.
 	done          chan struct{}
 	cancelStandby context.CancelCauseFunc
@@ -68,10 +74,12 @@
 func (x *exchange) watch(ctx context.Context, a *attempt) *takeover {
 	standby := *x
 	standby.standby = true
-	standby.sent++ // The running attempt.
+	if !a.counted {
+		standby.sent++
+	}
 	standby.avoid = append(slices.Clone(x.avoid), a.placement.Replica)
 	t := &takeover{
-		ctx: ctx, running: a, timeout: x.stallTimeout(a.placement), exchange: &standby, before: standby,
+		ctx: ctx, running: a, timeout: x.stallTimeout(a.placement), exchange: &standby, before: standby, ended: make(chan struct{}),
 		quietSince: time.Now(), begun: x.responseBegun, lastEventID: x.lastEventID, modelVersion: x.modelVersion,
 	}
 	t.mu.Lock()
@@ -83,56 +91,71 @@
 
 // expire runs a standby until it is proven or has failed.
 func (t *takeover) expire() {
-	t.mu.Lock()
-	if t.stopped || t.forwarding || t.done != nil {
-		t.mu.Unlock()
+	ctx, cancel, done := t.beginStandby()
+	if done == nil {
 		return
 	}
-	now := time.Now()
-	if left := t.timeout - now.Sub(t.quietSince); left > 0 {
-		// The timer had expired already when an event stopped it.
-		t.timer.Reset(left)
-		t.mu.Unlock()
-		return
-	}
-	if now.Sub(t.quietSince) < t.timeout+maxPatience && t.exchange.gateway.silence.Prevails(now, t.running.replica) {
-		// Another replica would hardly answer sooner, and those that return would have more to do.
-		t.timer.Reset(silenceInterval)
-		t.mu.Unlock()
-		return
-	}
-	x := t.exchange
-	x.responseBegun, x.lastEventID, x.modelVersion = t.begun, t.lastEventID, t.modelVersion
-	ctx, cancel := context.WithCancelCause(t.ctx)
-	done := make(chan struct{})
-	t.done, t.cancelStandby = done, cancel
-	t.mu.Unlock()
-
-	a, retryAfter := x.runStandby(ctx)
-
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	defer close(done)
-	t.done = nil
-	if a != nil && ctx.Err() == nil {
-		t.proven, t.stopped = a, true
-		t.running.cancel(errTakenOver)
+	a, retryAfter := t.runStandby(ctx)
+	if t.accept(ctx, a) {
 		return
 	}
+	goesOn := errors.Is(context.Cause(ctx), errGoesOn)
+	cancel(nil)
 	if a != nil {
 		a.result.Outcome = catkinspindle.OutcomeGivenUp
-		x.end(a)
+		t.exchange.end(a)
 	}
-	cancel(nil)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.done = nil
 	switch {
 	case t.stopped || t.forwarding:
-	case context.Cause(ctx) == errGoesOn:
+	case goesOn:
 		t.timer.Reset(t.timeout)
 	case retryAfter > 0:
 		t.timer.Reset(min(t.timeout, retryAfter))
 	}
 }
 
+// accept lets a take over unless it is nil or ctx has ended.
+func (t *takeover) accept(ctx context.Context, a *attempt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a == nil || ctx.Err() != nil {
+		return false
+	}
+	t.proven, t.stopped, t.done = a, true, nil
+	t.running.cancel(errTakenOver)
+	return true
+}
+
+// beginStandby prepares the exchange for a standby. It returns nil if none may begin now.
+func (t *takeover) beginStandby() (context.Context, context.CancelCauseFunc, chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped || t.forwarding || t.done != nil {
+		return nil, nil, nil
+	}
+	quiet := time.Since(t.quietSince)
+	if quiet < t.timeout {
+		// The timer had expired already when an event stopped it.
+		t.timer.Reset(t.timeout - quiet)
+		return nil, nil, nil
+	}
+	x := t.exchange
+	if quiet < t.timeout+maxPatience && x.gateway.silence.Prevails(time.Now(), t.running.replica) {
+		// Another replica would hardly answer sooner, and those that return would have more to do.
+		t.timer.Reset(silenceInterval)
+		return nil, nil, nil
+	}
+	x.responseBegun, x.lastEventID, x.modelVersion = t.begun, t.lastEventID, t.modelVersion
+	ctx, cancel := context.WithCancelCause(t.ctx)
+	done := make(chan struct{})
+	t.done, t.cancelStandby = done, cancel
+	return ctx, cancel, done
+}
+
 // receive is called with each event of the running attempt. It returns false if a standby has taken
 // over, so that the event must not be forwarded. Otherwise the caller forwards it and calls resume.
 func (t *takeover) receive() bool {
@@ -153,13 +176,29 @@
 func (t *takeover) resume(x *exchange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forwarding, t.quietSince = false, time.Now()
+	t.forwarding, t.quietSince, t.timeout = false, time.Now(), x.eventTimeout()
 	t.begun, t.lastEventID, t.modelVersion = x.responseBegun, x.lastEventID, x.modelVersion
 	if !t.stopped && t.done == nil {
 		t.timer.Reset(t.timeout)
 	}
 }
 
+// begin is called when the running attempt begins the response without an event. It returns false if
+// a standby has taken over.
+func (t *takeover) begin(modelVersion string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.proven != nil {
+		return false
+	}
+	if t.done != nil {
+		// It does not know that the response has begun.
+		t.cancelStandby(errGoesOn)
+	}
+	t.begun, t.modelVersion = true, modelVersion
+	return true
+}
+
 // commit keeps standbys from taking over from now on. It returns false if one has taken over.
 func (t *takeover) commit() bool {
 	t.mu.Lock()
@@ -176,26 +215,30 @@
 }
 
 // settle ends the takeover when the running attempt has ended. If the request is not over, it waits
-// for a standby that runs; it returns the one that goes on, if any. The standbys' attempts then count
-// as those of x.
-func (x *exchange) settle(t *takeover, over bool) *attempt {
+// for a standby that runs, for at most the given time unless that is zero, and returns the one that
+// goes on, if any. The standbys' attempts then count as those of x. Later calls have no further effect.
+func (x *exchange) settle(t *takeover, over bool, limit time.Duration) *attempt {
+	t.endsOnce.Do(func() { close(t.ended) })
 	t.mu.Lock()
+	t.stopped = true
 	t.timer.Stop()
 	done := t.done
-	if done == nil || over {
-		t.stopped = true
-	}
 	if done != nil && over {
 		t.cancelStandby(errOver)
 	}
 	t.mu.Unlock()
 	if done != nil {
+		if limit > 0 {
+			timer := time.AfterFunc(limit, func() { t.cancelStandby(errOver) })
+			defer timer.Stop()
+		}
 		<-done
 	}
 	t.mu.Lock()
-	t.stopped = true
-	t.timer.Stop()
 	next := t.proven
+	if over {
+		t.proven = nil
+	}
 	t.mu.Unlock()
 	x.merge(t)
 	if next != nil && over {
@@ -221,16 +264,21 @@
 }
 
 // runStandby sends the request to another replica. It returns the attempt once it is proven, or the
-// time after which another standby may be sought, zero if none may.
-func (x *exchange) runStandby(ctx context.Context) (proven *attempt, retryAfter time.Duration) {
-	if x.retryFailure() != nil || x.unusable >= maxUnusable || x.heldFailure() != nil {
+// time after which another standby may be sought, zero if none may. A standby that is silent itself is
+// watched like the running attempt.
+func (t *takeover) runStandby(ctx context.Context) (proven *attempt, retryAfter time.Duration) {
+	x := t.exchange
+	if x.retryFailure() != nil || x.unusable >= maxUnusable {
 		return nil, 0
 	}
+	if x.heldFailure() != nil {
+		return nil, standbyInterval
+	}
 	p := x.place(ctx, slices.Concat(x.avoid, x.gateway.silence.Silent(time.Now(), x.service)))
 	if p.Refused() {
 		return nil, standbyInterval
 	}
-	if !x.gateway.budget.AllowRetry(time.Now(), x.service) {
+	if ctx.Err() != nil || !x.gateway.budget.AllowRetry(time.Now(), x.service) {
 		x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
 		return nil, standbyInterval
 	}
@@ -239,16 +287,46 @@
 	}
 	a := newAttempt(ctx, p)
 	helpers, probe, ok, _ := x.prepare(a)
-	if ok && x.send(a, helpers, probe) && x.prove(a) {
-		return a, 0
+	if !ok {
+		x.end(a)
+		return nil, standbyRetry
+	}
+	next := x.watch(ctx, a)
+	if x.send(a, helpers, probe) && x.prove(a) && next.commit() {
+		x.settle(next, true, 0)
+		if t.awaitRunning(ctx, a) {
+			return a, 0
+		}
 	}
 	if ctx.Err() != nil {
 		a.result.Outcome = catkinspindle.OutcomeGivenUp
 	}
 	x.end(a)
+	if a := x.settle(next, ctx.Err() != nil, 0); a != nil {
+		if t.awaitRunning(ctx, a) {
+			return a, 0
+		}
+		x.end(a)
+	}
 	return nil, standbyRetry
 }
 
+// awaitRunning gives the running attempt some time if what a has delivered may be worth less: an
+// error, or the end of a stream. It returns false if ctx has ended meanwhile.
+func (t *takeover) awaitRunning(ctx context.Context, a *attempt) bool {
+	if a.answer.Status/100 == 2 && (a.peeked == nil || a.peeked.err == nil) {
+		return true
+	}
+	timer := time.NewTimer(doubtTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.ended:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // prove reads the next event of a stream, or the whole answer if it is no stream, and reports whether
 // the replica has delivered it.
 func (x *exchange) prove(a *attempt) bool {
@@ -281,9 +359,9 @@
 		x.handleBroken(a, "broken", err, false)
 		return false
 	}
-	if status := a.answer.Status; x.responseBegun || status >= http.StatusInternalServerError {
+	if x.responseBegun {
 		x.avoid = append(x.avoid, a.placement.Replica)
-		x.logFailedAttempt(a, "failed with status "+strconv.Itoa(status), nil)
+		x.logFailedAttempt(a, "answered a resumed stream with status "+strconv.Itoa(a.answer.Status), nil)
 		return false
 	}
 	x.receiveData(a)
@@ -304,8 +382,10 @@
 }
 
 // lose handles an attempt that has delivered something after a standby took over or the request
-// ended. It returns nil.
+// ended: its replica has not failed. It returns nil.
 func (x *exchange) lose(a *attempt) *catkinspindle.Failure {
-	x.handleBroken(a, "too late", context.Cause(a.ctx), true)
+	x.avoid = append(x.avoid, a.placement.Replica)
+	a.result.Outcome = catkinspindle.OutcomeGivenUp
+	x.logFailedAttempt(a, "too late", context.Cause(a.ctx))
 	return nil
 }
