Blame no peer for a call that its caller cancelled

A caller that leaves during a placement, or an event that ends a standby, cancelled the call to the coordinator. The node then closed the connection that all its calls to that node share, suspected the coordinator, and placed the job without it.

Only a call that had its full time now closes the connection and raises suspicion. The coordinator is told that the job has ended, since it may have placed it.

TestCancelledCallLeavesTheOthersAlone and TestCoordinatorIsNotSuspectedWhenTheCallerLeaves failed before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -216,9 +216,20 @@
 	case !ok:
 		return c.planner.PlaceUncoordinated(now, j), true
 	}
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	if err := c.peers.Call(ctx, coord.PeerAddress, placeKind, j, &p); err != nil {
+	if err := c.peers.Call(callCtx, coord.PeerAddress, placeKind, j, &p); err != nil {
+		if ctx.Err() != nil {
+			// The job is no longer wanted, which says nothing about the coordinator. It may have
+			// placed the job.
+			c.mu.Lock()
+			c.queueUpdate(j.Pool, func(n *updates) {
+				n.Results = append(n.Results, catkinspindle.AttemptResult{JobID: j.ID, Outcome: catkinspindle.OutcomeGivenUp})
+			})
+			c.mu.Unlock()
+			c.wakeReporter()
+			return catkinspindle.Placement{JobID: j.ID, Reason: catkinspindle.ReasonNoBackend}, false
+		}
 		var failure *catkinspindle.Failure
 		if errors.As(err, &failure) && failure.Reason == catkinspindle.ReasonNotReady {
 			// The coordinator has just started and has no configuration yet.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -281,6 +281,23 @@
 	})
 }
 
+func TestCoordinatorIsNotSuspectedWhenTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := start(t)
+		defer p.stop()
+		p.link.setUnresponsive(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		defer cancel()
+		if got := p.node.Place(ctx, newJob()); !got.Refused() {
+			t.Errorf("placement %+v for a caller that has left", got)
+		}
+		if diff := cmp.Diff(0, p.suspicions); diff != "" {
+			t.Errorf("number of times the coordinator was suspected (-want +got):\n%s", diff)
+		}
+		p.link.setUnresponsive(false)
+	})
+}
+
 // A coordinator that has just started and does not know the service yet places no
 // jobs. The node then places without it, but does not suspect it of having failed.
 func TestCoordinatorWithoutConfiguration(t *testing.T) {
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -256,7 +256,7 @@
 		return err
 	}
 	err = roundTrip(ctx, s, address, data, resp)
-	if err != nil && ctx.Err() != nil {
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// A peer that has restarted at the same address has no state of this connection.
 		// Only a new connection shows whether the peer is alive.
 		t.dropConnection(address, conn)
@@ -272,7 +272,9 @@
 	}
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		t.dropConnection(address, conn)
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			t.dropConnection(address, conn)
+		}
 		return nil, nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "peers: call %s: %w", address, err)
 	}
 	return conn, s, nil
--- a/peers/transport_test.go
+++ b/peers/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/keys"
@@ -111,3 +113,37 @@
 		t.Error(diff)
 	}
 }
+
+func TestCancelledCallLeavesTheOthersAlone(t *testing.T) {
+	dir := t.TempDir()
+	a, _ := start(t, dir, "a")
+	b, address := start(t, dir, "b")
+	waiting, proceed := make(chan struct{}, 2), make(chan struct{})
+	b.Handle("wait", func(context.Context, func(any) error) (any, error) {
+		waiting <- struct{}{}
+		<-proceed
+		return "done", nil
+	})
+	cancelled, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	for _, ctx := range []context.Context{cancelled, context.Background()} {
+		group.Go(func() error {
+			var got string
+			err := a.Call(ctx, address, "wait", "", &got)
+			if ctx != cancelled {
+				return err
+			}
+			if err == nil {
+				return errors.New("the cancelled call has an answer")
+			}
+			close(proceed)
+			return nil
+		})
+	}
+	<-waiting
+	<-waiting
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
