Count the idle connections that a node closes, by timeout

Neither logs nor metrics said that a node had closed a caller's connection as idle, nor under which timeout, so a request lost to such a close could not be told from any other broken connection. One counter for each timeout, idle-connections-closed-TIMEOUT, on the metrics address.

--- a/gatewaynode/listeners.go
+++ b/gatewaynode/listeners.go
@@ -29,6 +29,9 @@
 	idleTimeoutMargin = 2 * time.Second
 	// metricsPath is the HTTP path of counters and histograms.
 	metricsPath = "/metrics"
+	// idleClosedCounter is the name of the counter of connections that the node has closed
+	// because they were idle, before the timeout.
+	idleClosedCounter = "idle-connections-closed-"
 	// keepAliveInterval is the TCP keep-alive idle time and interval of accepted connections,
 	// maxKeepAliveProbes the number of unanswered probes after which one is closed.
 	keepAliveInterval  = 5 * time.Second
@@ -40,6 +43,7 @@
 	settings      catkinspindle.GatewaySettings
 	callerHandler http.Handler
 	fixedHandlers map[string]http.Handler
+	registry      metrics.Registry
 	log           *slog.Logger
 	group         errgroup.Group
 
@@ -63,6 +67,7 @@
 		settings:      s,
 		callerHandler: callers,
 		fixedHandlers: map[string]http.Handler{s.Ready: readyMux, s.Addresses: addressesMux, s.Metrics: metricsMux},
+		registry:      registry,
 		log:           log,
 	}
 }
@@ -173,7 +178,24 @@
 	next := &callerListener{connections: make(chan net.Conn), address: &net.TCPAddr{}, closed: make(chan struct{})}
 	l.current = next
 	l.mu.Unlock()
-	l.serve(l.newServer(l.callerHandler, limits), next)
+	server := l.newServer(l.callerHandler, limits)
+	server.ConnState = l.countIdleClosed(server.IdleTimeout)
+	l.serve(server, next)
+}
+
+// countIdleClosed returns a function that counts the connections closed after having been idle
+// for the given timeout.
+func (l *listeners) countIdleClosed(timeout time.Duration) func(net.Conn, http.ConnState) {
+	var idleSince sync.Map
+	return func(c net.Conn, state http.ConnState) {
+		since, wasIdle := idleSince.LoadAndDelete(c)
+		switch {
+		case state == http.StateIdle:
+			idleSince.Store(c, time.Now())
+		case wasIdle && state == http.StateClosed && time.Since(since.(time.Time)) >= timeout:
+			metrics.GetOrRegisterCounter(idleClosedCounter+timeout.String(), l.registry).Inc(1)
+		}
+	}
 }
 
 // accept passes each connection to the server with the current limits.
