Apply changed limits to open connections

What callers saw: after a raised idle timeout, the node closed connections that they still took for kept, by the former timeout and its margin; a request that crossed the close got neither an answer nor a refusal. Requests within a raised max-header-bytes got 431 on connections opened before. After lowered limits, such connections kept the former ones.

Cause: each change of the limits started one more http.Server, which was never shut down, and a connection stayed with the server that had accepted it.

The new package httpserver has one server, whose connections apply the limits in force themselves: to idle connections, to headers and to their timeouts. When a deadline has passed, a connection is read once more, so that a request that has arrived by then is served. A lowered idle timeout closes no connection within the margin of 2 s, in which callers may not know it; a header that is arriving gets the larger of the limits. Callers' connections are accepted by net/http itself again.

Ruled out: moving idle connections to the newest server, because net/http may hold the first bytes of the next request.

--- /dev/null
+++ b/httpserver/conn.go
@@ -0,0 +1,220 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// readAheadBytes is how much net/http may read beyond the header with which it ends.
+	readAheadBytes = 4096
+	// lastReadTimeout is the timeout of the read that follows a deadline, so that a request is served
+	// that has arrived by then.
+	lastReadTimeout = time.Millisecond
+	// resetDelay is the time between the rejection of a header and the close of the connection, whose
+	// reset could reach the caller before it has read the rejection. It is that of net/http.
+	resetDelay = 500 * time.Millisecond
+)
+
+var errHeaderTooLarge = errors.New("request header too large")
+
+// phase says what a connection is used for.
+type phase int
+
+const (
+	// phaseHeader begins with the connection or with the first byte of a request.
+	phaseHeader phase = iota
+	// phaseRequest begins when the header has been read and ends when the request is answered.
+	phaseRequest
+	phaseIdle
+)
+
+// conn is a caller's connection. It applies the limits of its server to idle connections and
+// headers; net/http sets deadlines in phaseRequest only.
+type conn struct {
+	net.Conn
+	server *Server
+
+	mu    sync.Mutex
+	phase phase
+	// since is when the phase began.
+	since time.Time
+	// deadline is when the connection is closed in phaseHeader and phaseIdle.
+	deadline time.Time
+	// pastDeadline is true if the deadline has passed and the last read may be under way.
+	pastDeadline bool
+	// headerBytes is the number of bytes read since the end of the last request, maxHeader the limit
+	// when the header began.
+	headerBytes, maxHeader int
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		left := c.headerBytesLeft()
+		if left <= 0 {
+			return 0, c.rejectHeader()
+		}
+		n, err := c.Conn.Read(p[:min(len(p), left)])
+		if n > 0 {
+			c.received(n)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayReadAgain() {
+			return n, err
+		}
+	}
+}
+
+// headerBytesLeft returns how much may still be read of the header.
+func (c *conn) headerBytesLeft() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseRequest {
+		return math.MaxInt
+	}
+	return max(c.maxHeader, c.server.limits.Load().MaxHeader) + readAheadBytes - c.headerBytes
+}
+
+// rejectHeader answers a request whose header exceeds the limit. It returns an error to which
+// net/http does not respond.
+func (c *conn) rejectHeader() error {
+	const status = http.StatusRequestHeaderFieldsTooLarge
+	text := strconv.Itoa(status) + " " + http.StatusText(status)
+	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
+	if err == nil && c.CloseWrite() == nil {
+		time.Sleep(resetDelay)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeaderTooLarge}
+}
+
+// received records that n bytes have been read.
+func (c *conn) received(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case phaseRequest:
+		return
+	case phaseIdle:
+		c.startHeader()
+	case phaseHeader:
+	}
+	c.headerBytes += n
+}
+
+// mayReadAgain is called when a read has exceeded its deadline. It returns false if the connection
+// is to be closed.
+func (c *conn) mayReadAgain() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseRequest {
+		return false
+	}
+	now := time.Now()
+	switch {
+	case now.Before(c.deadline):
+		return true // It has just been postponed.
+	case !c.pastDeadline:
+		c.pastDeadline = true
+		return c.Conn.SetReadDeadline(now.Add(lastReadTimeout)) == nil
+	}
+	if c.phase == phaseIdle {
+		c.server.onIdleClosed(c.server.limits.Load().IdleTimeout)
+	}
+	return false
+}
+
+// SetReadDeadline implements net.Conn. Before a request has been read, it serves to tell the phases:
+// net/http sets a deadline when the first bytes of a header have been read, and removes it when the
+// header is complete.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case phaseIdle:
+		if !t.IsZero() {
+			c.startHeader()
+		}
+		return nil
+	case phaseHeader:
+		if !t.IsZero() {
+			return nil
+		}
+		c.phase = phaseRequest
+	case phaseRequest:
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the writing side of the connection, as net/http does before it closes a
+// connection from which it has not read everything.
+func (c *conn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return w.CloseWrite()
+}
+
+func (c *conn) beginHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startHeader()
+}
+
+// startHeader begins phaseHeader. The caller holds c.mu.
+func (c *conn) startHeader() {
+	limits := c.server.limits.Load()
+	c.phase, c.since, c.maxHeader = phaseHeader, time.Now(), limits.MaxHeader
+	c.setDeadline(c.since.Add(limits.HeaderTimeout))
+}
+
+func (c *conn) beginIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since, c.headerBytes = phaseIdle, time.Now(), 0
+	c.setDeadline(c.since.Add(c.server.limits.Load().IdleTimeout))
+}
+
+// setDeadline sets the time at which the connection is closed. The caller holds c.mu.
+func (c *conn) setDeadline(t time.Time) {
+	c.deadline, c.pastDeadline = t, false
+	_ = c.Conn.SetReadDeadline(t) // It fails on closed connections only, as the next read does.
+}
+
+// updateDeadline applies changed limits.
+func (c *conn) updateDeadline(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limits := c.server.limits.Load()
+	var deadline time.Time
+	switch c.phase {
+	case phaseRequest:
+		return
+	case phaseHeader:
+		deadline = later(c.since.Add(limits.HeaderTimeout), c.deadline)
+	case phaseIdle:
+		deadline = c.since.Add(limits.IdleTimeout)
+		if margin := now.Add(idleTimeoutMargin); c.deadline.After(margin) {
+			deadline = later(deadline, margin)
+		} else {
+			deadline = later(deadline, c.deadline)
+		}
+	}
+	if !deadline.Equal(c.deadline) {
+		c.setDeadline(deadline)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/httpserver/server.go
@@ -0,0 +1,132 @@
+// Package httpserver is an HTTP/1.1 server whose limits can change while connections are open.
+package httpserver
+
+import (
+	"log/slog"
+	"maps"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+)
+
+// Limits where none are set.
+const (
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 20 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// idleTimeoutMargin is added to the idle timeout that callers expect, so that the server does not
+// close a connection while a request is in transit. It is also the time for which a connection stays
+// open after a lowered idle timeout, which callers may learn of later.
+const idleTimeoutMargin = 2 * time.Second
+
+// Server is an HTTP server. New limits hold for open connections too.
+type Server struct {
+	server       *http.Server
+	onIdleClosed func(timeout time.Duration)
+	limits       atomic.Pointer[catkinspindle.TrafficLimits]
+
+	mu          sync.Mutex
+	connections map[*conn]struct{}
+}
+
+// Option configures a server.
+type Option func(*Server)
+
+// WithOnIdleClosed sets a function that is called when the server closes a connection that has been
+// idle for the timeout.
+func WithOnIdleClosed(f func(timeout time.Duration)) Option {
+	return func(s *Server) { s.onIdleClosed = f }
+}
+
+// New returns a server of h with default limits.
+func New(h http.Handler, log *slog.Logger, opts ...Option) *Server {
+	s := &Server{onIdleClosed: func(time.Duration) {}, connections: map[*conn]struct{}{}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	// Each conn applies the limits itself. The read header timeout is set because a conn learns from
+	// the deadlines whether a header is being read.
+	s.server = &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    math.MaxInt32,
+		ConnState:         s.connStateChanged,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	s.SetLimits(catkinspindle.TrafficLimits{})
+	return s
+}
+
+// Serve accepts connections from l until the server is closed.
+func (s *Server) Serve(l net.Listener) error { return s.server.Serve(listener{l, s}) }
+
+// Close closes the listeners and connections at once.
+func (s *Server) Close() error { return s.server.Close() }
+
+// SetLimits applies limits to new and open connections. The header of a request that has begun to
+// arrive is not held to lower limits than before.
+func (s *Server) SetLimits(limits catkinspindle.TrafficLimits) {
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = headerTimeout
+	}
+	if limits.MaxHeader <= 0 {
+		limits.MaxHeader = maxHeaderBytes
+	}
+	if limits.IdleTimeout > 0 {
+		limits.IdleTimeout += idleTimeoutMargin
+	} else {
+		limits.IdleTimeout = idleTimeout
+	}
+	if former := s.limits.Swap(&limits); former != nil && *former == limits {
+		return
+	}
+	// A connection that is added later takes the new limits by itself.
+	s.mu.Lock()
+	open := slices.Collect(maps.Keys(s.connections))
+	s.mu.Unlock()
+	now := time.Now()
+	for _, c := range open {
+		c.updateDeadline(now)
+	}
+}
+
+func (s *Server) connStateChanged(nc net.Conn, state http.ConnState) {
+	c := nc.(*conn)
+	switch state {
+	case http.StateNew:
+		s.mu.Lock()
+		s.connections[c] = struct{}{}
+		s.mu.Unlock()
+		c.beginHeader()
+	case http.StateIdle:
+		c.beginIdle()
+	case http.StateHijacked, http.StateClosed:
+		s.mu.Lock()
+		delete(s.connections, c)
+		s.mu.Unlock()
+	case http.StateActive:
+	}
+}
+
+// listener returns connections to which the server's limits apply.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, server: l.server}, nil
+}
