Keep a silent engine until another has delivered a token

What callers saw: a stream of the own interface ended as failed although its engine was only silent for a while: after 2 s when the homes of the other engines refused it, after 6 s when another engine broke, was silent too or had to read a long prompt. The silent engine's stream was cancelled and its prompt read again.

Cause: the progress timer cancelled the running attempt before another engine had even been asked (router/attempt.go), and the search for one ended the answer when it failed.

Now another engine is sought beside the attempts that run. The first one that delivers a new token or the end goes on, and the others end; all go on after the last token delivered, so tokens of two runs are never joined. A search that fails, by a refusal for instance, ends the answer only when no attempt is left, or when all have been silent for as long as the fleet may need to move an engine. At most Limits.Attempts engines are asked without a token, as before. A failed answer no longer releases its last reservation twice, by failing and by Close.

Evidence: TestSilentEngineIsKeptUntilAnotherDelivers failed before (8 of 8 cases), TestStreamWithoutAnEngineEndsInTime too (a reservation released twice); TestHungEngineIsLeftForOneThatDelivers passed before and passes: hung engines are left after the same 2 s.

--- a/router/answer.go
+++ b/router/answer.go
@@ -4,14 +4,16 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 )
 
-// answer is the answer to one request, made of one or more attempts. It implements
-// catkinspindle.Stream.
+// answer is the answer to one request, made of one or more attempts. While no attempt delivers
+// anything, further ones are started on other engines; the first one with a new token goes on and
+// the others end. It implements catkinspindle.Stream.
 type answer struct {
 	router  *Router
 	req     catkinspindle.Request
@@ -22,126 +24,37 @@
 	// attempts counts the engines that the request was sent to since the last token.
 	attempts int
 	failed   map[string]bool
-	current  *attempt
-	received int
-	version  string
-	ended    bool
-	closed   bool
+	// occupied has the engines of the attempts that run while another one is sought.
+	occupied map[string]bool
+	running  []*attempt
+	results  chan result
+	// found has the outcome of the search for a further engine, nil while there is none.
+	found        chan found
+	cancelSearch context.CancelFunc
+	// silence expires when no attempt has delivered anything for Timing.ProgressTimeout.
+	silence    *time.Timer
+	silentFrom time.Time
+	received   int
+	version    string
+	ended      bool
+	closed     bool
 	// verdict is the maximum of the verdicts of all attempts.
 	verdict catkinspindle.Verdict
 }
 
-// maxRetryWait is the maximum wait before all engines are tried again.
-const maxRetryWait = 200 * time.Millisecond
-
-// maxOverloadRefusals is the number of refusals by overloaded engines that ends the search.
-const maxOverloadRefusals = 3
-
-// search is the state of the search for an engine that accepts a request.
-type search struct {
-	// lastRefusal is the most recent refusal by an overloaded engine.
-	lastRefusal *catkinspindle.Failure
-	refusals    int
-	// rateLimited counts the engines that have refused the request because of their rate limit
-	// since all engines were eligible.
-	rateLimited int
-	// noCandidateSince is when the current period without a candidate began, or zero. A
-	// candidate that only lacks memory ends the period.
-	noCandidateSince time.Time
-}
-
-// startAttempts tries the engines in order of cost until one accepts the request. While no
-// engine is ready, it retries for as long as the fleet may need to detect a dead VM
-// and to move its engines to another home. The search ends at once when all candidates,
-// or maxOverloadRefusals of them, have refused because they are overloaded.
-func (a *answer) startAttempts() error {
-	s := &search{}
-	for {
-		at, err := a.router.beginAttempt(a)
-		if err == nil {
-			a.current = at
-			a.verdict = max(a.verdict, catkinspindle.MayHaveRun)
-			return nil
-		}
-		f := catkinspindle.AsFailure(err)
-		a.verdict = max(a.verdict, f.Verdict)
-		if a.ctx.Err() != nil {
-			return a.deadlineFailure(f)
-		}
-		if final := a.finalFailure(s, f); final != nil {
-			return final.WithVerdict(a.verdict)
-		}
-		if wait := errors.Is(f, errHoldExpired) || errors.Is(f, errNoCandidate); wait && !a.waitToRetry() {
-			return a.deadlineFailure(f)
-		}
-	}
-}
-
-// finalFailure returns the failure that ends the search after f, or nil if the search
-// continues.
-func (a *answer) finalFailure(s *search, f *catkinspindle.Failure) *catkinspindle.Failure {
-	if f.Reason == catkinspindle.ReasonNeverFits || a.attempts >= a.router.limits.Attempts {
-		return f
-	}
-	switch {
-	case errors.Is(f, errHoldExpired), errors.Is(f, errEngineFull):
-		s.noCandidateSince = time.Time{}
-	case f.Reason == catkinspindle.ReasonRateLimit:
-		// Other engines may have no limit.
-		s.rateLimited++
-		if s.lastRefusal == nil || f.RetryAfter < s.lastRefusal.RetryAfter {
-			s.lastRefusal = f
-		}
-	case f.Reason == catkinspindle.ReasonOverload:
-		s.lastRefusal = f
-		s.refusals++
-		if s.refusals >= maxOverloadRefusals {
-			return f
-		}
-	case errors.Is(f, errNoCandidate):
-		return a.noCandidateFailure(s, f)
-	}
-	return nil
-}
-
-// noCandidateFailure handles a search without a candidate. It returns the failure that
-// ends the search if an overloaded engine refused the request, the rate limits of all engines
-// are used up, or none was ready for too long, else nil.
-func (a *answer) noCandidateFailure(s *search, f *catkinspindle.Failure) *catkinspindle.Failure {
-	rateLimited := s.rateLimited
-	s.rateLimited = 0
-	if s.lastRefusal != nil && (s.lastRefusal.Reason != catkinspindle.ReasonRateLimit || rateLimited >= len(serving(a.router.snapshot(), a.req.Model))) {
-		return s.lastRefusal
-	}
-	if s.noCandidateSince.IsZero() {
-		s.noCandidateSince = time.Now()
-	}
-	if time.Since(s.noCandidateSince) > a.router.maxEngineWait(a.req, a.arrived) {
-		if s.lastRefusal != nil {
-			return s.lastRefusal
-		}
-		return f
-	}
-	return nil
-}
-
-// deadlineFailure returns the failure of a request whose context has ended.
-func (a *answer) deadlineFailure(last *catkinspindle.Failure) error {
-	f := catkinspindle.Fail(a.verdict, catkinspindle.ReasonDeadline, "deadline passed: %w", last.Err)
-	return f.WithRetryAfter(max(last.RetryAfter, time.Second))
+// result is a chunk of an attempt, or the error that ended it.
+type result struct {
+	attempt *attempt
+	chunk   catkinspindle.Chunk
+	err     error
 }
 
-// waitToRetry waits for a random time between half of maxRetryWait and all of it, then
-// makes all engines eligible again. The jitter keeps prompts that blocked each other from
-// retrying in step. It returns false if the request's context ended meanwhile.
-func (a *answer) waitToRetry() bool {
-	a.failed = map[string]bool{}
-	select {
-	case <-a.ctx.Done():
-		return false
-	case <-time.After(maxRetryWait/2 + time.Duration(a.router.random.intN(int(maxRetryWait/2)))):
-		return true
-	}
+// found is the attempt that a search has started, or its failure. search is the copy of the answer
+// that it used.
+type found struct {
+	search  *answer
+	attempt *attempt
+	failure *catkinspindle.Failure
 }
 
 // Next implements catkinspindle.Stream. It returns chunks that have new tokens or end
@@ -150,57 +63,107 @@
 	if a.ended {
 		return catkinspindle.Chunk{}, io.EOF
 	}
+	a.notSilent()
 	for {
-		c, err := a.current.next()
-		if err == nil && c.Offset > a.received {
-			err = errors.New("gap in the token stream")
-		}
-		if err != nil {
-			if err := a.failOver(err); err != nil {
+		select {
+		case r := <-a.results:
+			if fresh, ok := a.receive(r); ok {
+				return fresh, nil
+			}
+		case f := <-a.found:
+			if err := a.endSearch(f); err != nil {
+				return catkinspindle.Chunk{}, err
+			}
+		case <-a.silence.C:
+			if err := a.handleSilence(); err != nil {
 				return catkinspindle.Chunk{}, err
 			}
-			continue
+		case <-a.ctx.Done():
+			a.abortAll()
+			return catkinspindle.Chunk{}, catkinspindle.Fail(a.verdict, catkinspindle.ReasonDeadline, "deadline passed after %d tokens", a.received).WithRetryAfter(time.Second)
 		}
-		if fresh, ok := a.trimReceived(c); ok {
-			return fresh, nil
+	}
+}
+
+// notSilent restarts the time for which no attempt has delivered anything.
+func (a *answer) notSilent() {
+	a.silentFrom = time.Now()
+	a.silence.Reset(a.router.timing.ProgressTimeout)
+}
+
+// receive handles a result and reports whether its chunk must be delivered.
+func (a *answer) receive(r result) (catkinspindle.Chunk, bool) {
+	a.notSilent()
+	if r.err == nil && r.chunk.Offset > a.received {
+		r.err = errors.New("gap in the token stream")
+	}
+	if r.err != nil {
+		a.router.log.Warn("stream failed; resuming on another engine", events.StreamRetried.Attr(),
+			"engine", r.attempt.engine(), "received", a.received, "error", r.err)
+		a.drop(r.attempt)
+		if len(a.running) == 0 && a.found == nil {
+			a.startSearch()
 		}
+		return catkinspindle.Chunk{}, false
 	}
+	return a.trimReceived(r.attempt, r.chunk)
 }
 
 // trimReceived removes the tokens that the caller already has from c, and reports whether
-// the rest must be delivered.
-func (a *answer) trimReceived(c catkinspindle.Chunk) (catkinspindle.Chunk, bool) {
+// the rest must be delivered. If it has new tokens or ends the stream, the other attempts end.
+func (a *answer) trimReceived(at *attempt, c catkinspindle.Chunk) (catkinspindle.Chunk, bool) {
 	known := min(a.received-c.Offset, len(c.Tokens))
 	c.Tokens = c.Tokens[known:]
 	c.Offset += known
+	if len(c.Tokens) == 0 && !c.End {
+		return c, false
+	}
+	a.keepOnly(at)
 	if len(c.Tokens) > 0 {
-		a.current.reportFirstToken()
+		at.reportFirstToken()
 		a.attempts = 0
 	}
 	a.received += len(c.Tokens)
 	if c.End {
 		a.ended = true
 		a.verdict = catkinspindle.Ran
-		a.current.finish()
+		a.running = nil
+		at.finish()
 		a.cancel()
 	}
-	return c, c.End || len(c.Tokens) > 0
+	return c, true
 }
 
-// failOver abandons the failed attempt and resumes the answer on another engine.
-func (a *answer) failOver(cause error) error {
-	r := a.router
-	a.current.abort()
-	a.failed[a.current.engine()] = true
-	if a.ctx.Err() != nil {
-		return catkinspindle.Fail(a.verdict, catkinspindle.ReasonDeadline, "deadline passed after %d tokens", a.received).WithRetryAfter(time.Second)
-	}
-	r.log.Warn("stream failed; resuming on another engine", events.StreamRetried.Attr(),
-		"engine", a.current.engine(), "received", a.received, "error", cause)
-	if err := a.startAttempts(); err != nil {
-		return catkinspindle.AsFailure(err)
+// add makes at a running attempt.
+func (a *answer) add(at *attempt) {
+	a.running = append(a.running, at)
+	a.router.group.Go(func() error {
+		at.deliver(a.results)
+		return nil
+	})
+}
+
+// drop ends an attempt that has failed.
+func (a *answer) drop(at *attempt) {
+	at.abort()
+	a.failed[at.engine()] = true
+	a.running = slices.DeleteFunc(a.running, func(o *attempt) bool { return o == at })
+}
+
+// keepOnly ends the search and all attempts except at.
+func (a *answer) keepOnly(at *attempt) {
+	a.abortSearch()
+	for _, o := range slices.Clone(a.running) {
+		if o != at {
+			a.drop(o)
+		}
 	}
-	return nil
+}
+
+// abortAll ends all attempts and the search.
+func (a *answer) abortAll() {
+	a.keepOnly(nil)
+	a.ended = true
 }
 
 // Close implements catkinspindle.Stream.
@@ -210,9 +173,7 @@
 	}
 	a.closed = true
 	a.cancel()
-	if !a.ended {
-		a.ended = true
-		a.current.abort()
-	}
+	a.silence.Stop()
+	a.abortAll()
 	a.router.openAnswers.Done()
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -11,7 +11,9 @@
 // attempt is one attempt at an answer: the stream that generates it and, if the
 // prompt does not fit on one engine, the segments that are prefilled first.
 type attempt struct {
-	router         *Router
+	router *Router
+	// ctx ends the attempt.
+	ctx            context.Context
 	segments       []*segment
 	stream         catkinspindle.Stream
 	cancel         context.CancelCauseFunc
@@ -36,7 +38,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
-	at := &attempt{router: r, segments: segments, cancel: cancel}
+	at := &attempt{router: r, ctx: ctx, segments: segments, cancel: cancel}
 	at.timer = time.AfterFunc(r.timing.ProgressTimeout, func() {
 		cancel(catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonNoProgress, "engine %s: %w", at.engine(), errNoProgress))
 	})
@@ -46,6 +48,7 @@
 		a.failed[at.engine()] = true
 		return nil, r.startFailure(a, at.engine(), err)
 	}
+	at.timer.Stop()
 	a.attempts++
 	return at, nil
 }
@@ -142,16 +145,24 @@
 	}
 }
 
-// resetProgressTimer restarts the timer that cancels the attempt when the engine sends
-// nothing.
+// resetProgressTimer restarts the timer that cancels the attempt when an engine sends nothing
+// before the stream that generates has started.
 func (at *attempt) resetProgressTimer() { at.timer.Reset(at.router.timing.ProgressTimeout) }
 
-func (at *attempt) next() (catkinspindle.Chunk, error) {
-	c, err := at.stream.Next()
-	if err == nil {
-		at.resetProgressTimer()
+// deliver sends the chunks of the stream to results until it or the attempt ends.
+func (at *attempt) deliver(results chan<- result) {
+	defer at.stream.Close()
+	for {
+		c, err := at.stream.Next()
+		select {
+		case results <- result{at, c, err}:
+		case <-at.ctx.Done():
+			return
+		}
+		if err != nil || c.End {
+			return
+		}
 	}
-	return c, err
 }
 
 // reportFirstToken reports the first token to the home of the engine, once.
@@ -185,7 +196,4 @@
 func (at *attempt) close() {
 	at.timer.Stop()
 	at.cancel(nil)
-	if at.stream != nil {
-		at.stream.Close()
-	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -111,12 +111,16 @@
 		req:     req,
 		arrived: time.Now(),
 		failed:  map[string]bool{},
+		results: make(chan result),
+		silence: time.NewTimer(r.timing.ProgressTimeout),
 	}
 	a.ctx, a.cancel = context.WithDeadline(ctx, req.Deadline)
-	if err := a.startAttempts(); err != nil {
+	at, f := a.startAttempts()
+	if f != nil {
 		a.cancel()
-		return nil, err
+		return nil, f
 	}
+	a.add(at)
 	r.openAnswers.Add(1)
 	return a, nil
 }
@@ -188,5 +192,5 @@
 // reserved within Timing.HoldLimit.
 var errHoldExpired = errors.New("engines could not be reserved together in time")
 
-// errNoProgress means that an engine sent nothing within Timing.ProgressTimeout.
+// errNoProgress means that an engine sent nothing for too long.
 var errNoProgress = errors.New("no token or progress report in time")
--- /dev/null
+++ b/router/silence_test.go
@@ -0,0 +1,236 @@
+package router_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/router"
+)
+
+// step is one message of an engine and the pause before it.
+type step struct {
+	after time.Duration
+	chunk catkinspindle.Chunk
+	err   error
+}
+
+// fakeEngine plays one script for each stream, the last one repeatedly. A stream is silent after the
+// end of its script.
+type fakeEngine struct {
+	mu      sync.Mutex
+	scripts [][]step
+	// startErr refuses each stream, refuse each reservation.
+	startErr, refuse error
+	resumes          []int
+	cancelled        int
+}
+
+func (e *fakeEngine) Start(ctx context.Context, s catkinspindle.StreamStart) (catkinspindle.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumes = append(e.resumes, s.Resume)
+	if e.startErr != nil {
+		return nil, e.startErr
+	}
+	script := e.scripts[0]
+	if len(e.scripts) > 1 {
+		e.scripts = e.scripts[1:]
+	}
+	return &fakeStream{ctx: ctx, steps: script}, nil
+}
+
+func (e *fakeEngine) Cancel(context.Context, catkinspindle.StreamID) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled++
+	return nil
+}
+
+func (e *fakeEngine) Status(context.Context) (catkinspindle.EngineStatus, error) {
+	return catkinspindle.EngineStatus{}, nil
+}
+
+func (e *fakeEngine) Order(context.Context, catkinspindle.Order) error { return nil }
+
+type fakeStream struct {
+	ctx   context.Context
+	steps []step
+}
+
+// Next implements catkinspindle.Stream.
+func (s *fakeStream) Next() (catkinspindle.Chunk, error) {
+	if len(s.steps) == 0 {
+		<-s.ctx.Done()
+		return catkinspindle.Chunk{}, s.ctx.Err()
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	select {
+	case <-s.ctx.Done():
+		return catkinspindle.Chunk{}, s.ctx.Err()
+	case <-time.After(next.after):
+		return next.chunk, next.err
+	}
+}
+
+func (s *fakeStream) Close() {}
+
+// fakeFleet has the engines by name. It grants each reservation that its engine does not refuse.
+type fakeFleet struct {
+	engines  map[string]*fakeEngine
+	mu       sync.Mutex
+	reserved int
+}
+
+func (f *fakeFleet) Engine(vm catkinspindle.VM) catkinspindle.Engine   { return f.engines[vm.Name] }
+func (f *fakeFleet) Plain(catkinspindle.VM) catkinspindle.PlainService { return nil }
+func (f *fakeFleet) Prefilled(catkinspindle.Ticket)                    {}
+func (f *fakeFleet) count(n int)                                       { f.mu.Lock(); f.reserved += n; f.mu.Unlock() }
+func (f *fakeFleet) Release(catkinspindle.Ticket)                      { f.count(-1) }
+func (f *fakeFleet) Reserve(_ context.Context, t catkinspindle.Ticket) (catkinspindle.Grant, error) {
+	if err := f.engines[t.Engine].refuse; err != nil {
+		return catkinspindle.Grant{}, err
+	}
+	f.count(1)
+	return catkinspindle.Grant{}, nil
+}
+
+// snapshot lists the engines so that those with the first names are the cheapest.
+func (f *fakeFleet) snapshot() *catkinspindle.Snapshot {
+	s := &catkinspindle.Snapshot{
+		Config:     catkinspindle.FleetConfig{Models: []catkinspindle.ModelSpec{{Name: "m"}}},
+		Homes:      map[string]catkinspindle.Member{},
+		LocalLoads: map[string]catkinspindle.HomeLoad{},
+	}
+	for name := range f.engines {
+		s.Serving = append(s.Serving, catkinspindle.Assignment{VM: catkinspindle.VM{Name: name}, Want: catkinspindle.EngineState{Model: "m"}})
+		s.Homes[name] = catkinspindle.Member{}
+		s.LocalLoads[name] = catkinspindle.HomeLoad{Engine: name, Free: 1000, Capacity: 1000, Rate: 1000, Ready: true, Version: "1"}
+	}
+	return s
+}
+
+const timeLeft = 40 * time.Second
+
+// read serves one prompt and returns the tokens that the caller received and how long it took. The
+// caller waits for pause after each chunk.
+func (f *fakeFleet) read(t *testing.T, pause time.Duration) (text string, took time.Duration, err error) {
+	t.Helper()
+	r := router.New(f.snapshot, f, f, catkinspindle.BaselinePolicy(), catkinspindle.DefaultTiming(), catkinspindle.DefaultLimits(), slog.New(slog.DiscardHandler))
+	start := time.Now()
+	stream, err := r.Open(t.Context(), catkinspindle.Request{Model: "m", Prompt: "p", MaxTokens: 9, Deadline: start.Add(timeLeft)})
+	if err != nil {
+		return "", time.Since(start), err
+	}
+	var tokens []string
+	for err == nil {
+		var c catkinspindle.Chunk
+		c, err = stream.Next()
+		tokens = append(tokens, c.Tokens...)
+		time.Sleep(pause)
+	}
+	took = time.Since(start)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	stream.Close()
+	if err := r.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if f.reserved != 0 {
+		t.Errorf("%d reservations were not released", f.reserved)
+	}
+	return strings.Join(tokens, ""), took, err
+}
+
+func token(after time.Duration, offset int, text string) step {
+	return step{after: after, chunk: catkinspindle.Chunk{Offset: offset, Tokens: []string{text}}}
+}
+
+func end(after time.Duration, offset int) step {
+	return step{after: after, chunk: catkinspindle.Chunk{Offset: offset, End: true}}
+}
+
+var (
+	errBroke    = errors.New("connection reset")
+	errOverload = catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "full")
+	errStopping = catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "stopping")
+)
+
+func TestSilentEngineIsKeptUntilAnotherDelivers(t *testing.T) {
+	silentOnce := &fakeEngine{scripts: [][]step{{token(0, 0, "a"), token(2700*time.Millisecond, 1, "b"), end(0, 2)}}}
+	silent := []step{}
+	tests := map[string]map[string]*fakeEngine{
+		"no other engine":            {},
+		"the other refuses":          {"e2": {startErr: errStopping}},
+		"its home refuses":           {"e2": {refuse: errOverload}},
+		"the others' homes refuse":   {"e2": {refuse: errOverload}, "e3": {refuse: errOverload}, "e4": {refuse: errOverload}},
+		"the other breaks":           {"e2": {scripts: [][]step{{{err: errBroke}}}}},
+		"the other is silent too":    {"e2": {scripts: [][]step{silent}}},
+		"the other reads the prompt": {"e2": {scripts: [][]step{{{after: time.Second}, token(3*time.Second, 1, "b"), end(0, 2)}}}},
+		"the other skips a token":    {"e2": {scripts: [][]step{{token(0, 2, "c"), end(0, 3)}}}},
+	}
+	for name, others := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := &fakeEngine{scripts: silentOnce.scripts}
+				others["e1"] = first
+				text, took, err := (&fakeFleet{engines: others}).read(t, 0)
+				if diff := cmp.Diff("ab", text); diff != "" || err != nil || took > 3*time.Second {
+					t.Errorf("answer after %v, error %v (-want +got):\n%s", took, err, diff)
+				}
+				if diff := cmp.Diff([]int{0}, first.resumes); diff != "" || first.cancelled != 0 {
+					t.Errorf("streams on the silent engine, %d cancelled (-want +got):\n%s", first.cancelled, diff)
+				}
+			})
+		})
+	}
+}
+
+func TestHungEngineIsLeftForOneThatDelivers(t *testing.T) {
+	hangs := []step{token(0, 0, "a")}
+	resumes := []step{token(0, 1, "b"), end(0, 2)}
+	tests := map[string]struct {
+		others map[string]*fakeEngine
+		within time.Duration
+	}{
+		"the second one":                 {map[string]*fakeEngine{"e2": {scripts: [][]step{resumes}}}, 2500 * time.Millisecond},
+		"the third one":                  {map[string]*fakeEngine{"e2": {scripts: [][]step{{}}}, "e3": {scripts: [][]step{resumes}}}, 4500 * time.Millisecond},
+		"the second one after a refusal": {map[string]*fakeEngine{"e2": {startErr: errStopping}, "e3": {scripts: [][]step{resumes}}}, 2500 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hung := &fakeEngine{scripts: [][]step{hangs}}
+				tt.others["e1"] = hung
+				text, took, err := (&fakeFleet{engines: tt.others}).read(t, 0)
+				if diff := cmp.Diff("ab", text); diff != "" || err != nil || took > tt.within {
+					t.Errorf("answer after %v, error %v (-want +got):\n%s", took, err, diff)
+				}
+				if hung.cancelled != 1 {
+					t.Errorf("the hung stream was cancelled %d times, want once", hung.cancelled)
+				}
+			})
+		})
+	}
+}
+
+func TestStreamWithoutAnEngineEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFleet{engines: map[string]*fakeEngine{"e1": {scripts: [][]step{{token(0, 0, "a")}}}}}
+		text, took, err := f.read(t, 0)
+		if text != "a" || err == nil || took > timeLeft {
+			t.Errorf("answer %q after %v, error %v", text, took, err)
+		}
+	})
+}
