Test that a caller that reads slowly keeps its engine

What callers saw: an answer whose caller took no chunk for 2 s was moved to another engine, which read the prompt again, although chunks of the first one were waiting.

Cause: the progress timer ran while the caller took nothing (the same class: silence on one observer's side is taken for the engine's).

--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -234,3 +234,14 @@
 		}
 	})
 }
+
+func TestSlowCallerDoesNotMoveItsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := &fakeEngine{scripts: [][]step{{token(0, 0, "a"), token(0, 1, "b"), end(0, 2)}}}
+		second := &fakeEngine{scripts: [][]step{{token(0, 1, "b"), end(0, 2)}}}
+		text, _, err := (&fakeFleet{engines: map[string]*fakeEngine{"e1": first, "e2": second}}).read(t, 3*time.Second)
+		if diff := cmp.Diff("ab", text); diff != "" || err != nil || len(second.resumes) > 0 {
+			t.Errorf("error %v, %d streams on the other engine (-want +got):\n%s", err, len(second.resumes), diff)
+		}
+	})
+}
