Let no refusal end a stream that has begun

What callers saw: a stream of the own interface whose engine broke ended at once as failed ("overload") when the home of the only other engine refused the reservation, or three of them did, although seconds of the caller's time were left.

Cause: the search for an engine takes a refusal by overload as the answer to the request. That is right for a request that has not begun, which its caller can send again; of a begun one the caller would lose what it has. A refusal states that nothing ran, so another try costs nothing.

The search of an answer that has begun now goes on after refusals for as long as it does when no engine is ready (maxEngineWait), and asks again every 100 to 200 ms.

Evidence: TestRefusalsDoNotEndABegunStream failed before (3 of 3 cases); TestOverloadedFleetRefusesAtOnce holds that new requests are refused at once as before.

--- a/router/answer.go
+++ b/router/answer.go
@@ -24,6 +24,8 @@
 	// attempts counts the engines that the request was sent to since the last token.
 	attempts int
 	failed   map[string]bool
+	// begun is true in the search for a further engine after the first one has accepted.
+	begun bool
 	// occupied has the engines of the attempts that run while another one is sought.
 	occupied map[string]bool
 	running  []*attempt
--- a/router/search.go
+++ b/router/search.go
@@ -30,7 +30,8 @@
 // startAttempts tries the engines in order of cost until one accepts the request. While no
 // engine is ready, it retries for as long as the fleet may need to detect a dead VM
 // and to move its engines to another home. The search ends at once when all candidates,
-// or maxOverloadRefusals of them, have refused because they are overloaded.
+// or maxOverloadRefusals of them, have refused because they are overloaded, unless the answer
+// has begun.
 func (a *answer) startAttempts() (*attempt, *catkinspindle.Failure) {
 	s := &search{}
 	for {
@@ -71,7 +72,7 @@
 	case f.Reason == catkinspindle.ReasonOverload:
 		s.lastRefusal = f
 		s.refusals++
-		if s.refusals >= maxOverloadRefusals {
+		if s.refusals >= maxOverloadRefusals && !a.begun {
 			return f
 		}
 	case errors.Is(f, errNoCandidate):
@@ -82,11 +83,12 @@
 
 // noCandidateFailure handles a search without a candidate. It returns the failure that
 // ends the search if an overloaded engine refused the request, the rate limits of all engines
-// are used up, or none was ready for too long, else nil.
+// are used up, or none was ready for too long, else nil. Refusals alone end no search for an
+// answer that has begun.
 func (a *answer) noCandidateFailure(s *search, f *catkinspindle.Failure) *catkinspindle.Failure {
 	rateLimited := s.rateLimited
 	s.rateLimited = 0
-	if s.lastRefusal != nil && (s.lastRefusal.Reason != catkinspindle.ReasonRateLimit || rateLimited >= len(serving(a.router.snapshot(), a.req.Model))) {
+	if s.lastRefusal != nil && !a.begun && (s.lastRefusal.Reason != catkinspindle.ReasonRateLimit || rateLimited >= len(serving(a.router.snapshot(), a.req.Model))) {
 		return s.lastRefusal
 	}
 	if s.noCandidateSince.IsZero() {
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -25,27 +25,27 @@
 }
 
 // fakeEngine plays one script for each stream, the last one repeatedly. A stream is silent after the
-// end of its script.
+// end of its script, and refused if the script is nil.
 type fakeEngine struct {
 	mu      sync.Mutex
 	scripts [][]step
-	// startErr refuses each stream, refuse each reservation.
-	startErr, refuse error
-	resumes          []int
-	cancelled        int
+	// refusals is the number of reservations that the home refuses first.
+	refusals  int
+	resumes   []int
+	cancelled int
 }
 
 func (e *fakeEngine) Start(ctx context.Context, s catkinspindle.StreamStart) (catkinspindle.Stream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.resumes = append(e.resumes, s.Resume)
-	if e.startErr != nil {
-		return nil, e.startErr
-	}
 	script := e.scripts[0]
 	if len(e.scripts) > 1 {
 		e.scripts = e.scripts[1:]
 	}
+	if script == nil {
+		return nil, errStopping
+	}
 	return &fakeStream{ctx: ctx, steps: script}, nil
 }
 
@@ -98,8 +98,12 @@
 func (f *fakeFleet) count(n int)                                       { f.mu.Lock(); f.reserved += n; f.mu.Unlock() }
 func (f *fakeFleet) Release(catkinspindle.Ticket)                      { f.count(-1) }
 func (f *fakeFleet) Reserve(_ context.Context, t catkinspindle.Ticket) (catkinspindle.Grant, error) {
-	if err := f.engines[t.Engine].refuse; err != nil {
-		return catkinspindle.Grant{}, err
+	e := f.engines[t.Engine]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refusals > 0 {
+		e.refusals--
+		return catkinspindle.Grant{}, errOverload
 	}
 	f.count(1)
 	return catkinspindle.Grant{}, nil
@@ -120,7 +124,11 @@
 	return s
 }
 
-const timeLeft = 40 * time.Second
+const (
+	timeLeft = 40 * time.Second
+	// always is a number of refusals that no test exceeds.
+	always = 10_000
+)
 
 // read serves one prompt and returns the tokens that the caller received and how long it took. The
 // caller waits for pause after each chunk.
@@ -172,9 +180,9 @@
 	silent := []step{}
 	tests := map[string]map[string]*fakeEngine{
 		"no other engine":            {},
-		"the other refuses":          {"e2": {startErr: errStopping}},
-		"its home refuses":           {"e2": {refuse: errOverload}},
-		"the others' homes refuse":   {"e2": {refuse: errOverload}, "e3": {refuse: errOverload}, "e4": {refuse: errOverload}},
+		"the other refuses":          {"e2": {scripts: [][]step{nil}}},
+		"its home refuses":           {"e2": {refusals: always}},
+		"the others' homes refuse":   {"e2": {refusals: always}, "e3": {refusals: always}, "e4": {refusals: always}},
 		"the other breaks":           {"e2": {scripts: [][]step{{{err: errBroke}}}}},
 		"the other is silent too":    {"e2": {scripts: [][]step{silent}}},
 		"the other reads the prompt": {"e2": {scripts: [][]step{{{after: time.Second}, token(3*time.Second, 1, "b"), end(0, 2)}}}},
@@ -206,7 +214,7 @@
 	}{
 		"the second one":                 {map[string]*fakeEngine{"e2": {scripts: [][]step{resumes}}}, 2500 * time.Millisecond},
 		"the third one":                  {map[string]*fakeEngine{"e2": {scripts: [][]step{{}}}, "e3": {scripts: [][]step{resumes}}}, 4500 * time.Millisecond},
-		"the second one after a refusal": {map[string]*fakeEngine{"e2": {startErr: errStopping}, "e3": {scripts: [][]step{resumes}}}, 2500 * time.Millisecond},
+		"the second one after a refusal": {map[string]*fakeEngine{"e2": {scripts: [][]step{nil}}, "e3": {scripts: [][]step{resumes}}}, 2500 * time.Millisecond},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -225,6 +233,37 @@
 	}
 }
 
+func TestRefusalsDoNotEndABegunStream(t *testing.T) {
+	breaks := []step{token(0, 0, "a"), {err: errBroke}}
+	resumes := [][]step{{token(0, 1, "b"), end(0, 2)}}
+	tests := map[string]map[string]*fakeEngine{
+		"one home refuses once":   {"e2": {refusals: 1, scripts: resumes}},
+		"one home refuses often":  {"e2": {refusals: 5, scripts: resumes}},
+		"three homes refuse once": {"e2": {refusals: 1, scripts: resumes}, "e3": {refusals: 1, scripts: resumes}, "e4": {refusals: 1, scripts: resumes}},
+	}
+	for name, others := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				others["e1"] = &fakeEngine{scripts: [][]step{breaks, nil}}
+				text, took, err := (&fakeFleet{engines: others}).read(t, 0)
+				if diff := cmp.Diff("ab", text); diff != "" || err != nil || took > 5*time.Second {
+					t.Errorf("answer after %v, error %v (-want +got):\n%s", took, err, diff)
+				}
+			})
+		})
+	}
+}
+
+func TestOverloadedFleetRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFleet{engines: map[string]*fakeEngine{"e1": {refusals: always}, "e2": {refusals: always}}}
+		_, took, err := f.read(t, 0)
+		if took > 0 || catkinspindle.AsFailure(err).Reason != catkinspindle.ReasonOverload {
+			t.Errorf("error %v after %v", err, took)
+		}
+	})
+}
+
 func TestStreamWithoutAnEngineEndsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeFleet{engines: map[string]*fakeEngine{"e1": {scripts: [][]step{{token(0, 0, "a")}}}}}
--- a/router/standby.go
+++ b/router/standby.go
@@ -37,6 +37,7 @@
 // startSearch starts the search for a further engine.
 func (a *answer) startSearch() {
 	search := *a
+	search.begun = true
 	search.failed, search.occupied = maps.Clone(a.failed), map[string]bool{}
 	for _, at := range a.running {
 		search.failed[at.engine()], search.occupied[at.engine()] = true, true
