--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -71,6 +71,7 @@
 	outcomes       []catkinspindle.Outcome
 	departed       []catkinspindle.Departure
 	faultyReplicas []string
+	reported       []catkinspindle.AttemptResult
 	avoided        [][]string
 	refusal        *catkinspindle.Placement
 	placed         int
@@ -83,6 +84,8 @@
 	// permits sets RatePermit in all placements; reserveTime is how long a reservation takes.
 	permits     bool
 	reserveTime time.Duration
+	// reserveErr is the error of the next reservation.
+	reserveErr error
 	// leaving is the replica that begins to leave right after a placement.
 	leaving string
 	view    *view.View
@@ -132,6 +135,7 @@
 	defer w.mu.Unlock()
 	w.outcomes = append(w.outcomes, result.Outcome)
 	w.faultyReplicas = append(w.faultyReplicas, result.FaultyReplica)
+	w.reported = append(w.reported, catkinspindle.AttemptResult{Replica: result.Replica, Outcome: result.Outcome, FaultyReplica: result.FaultyReplica})
 	if result.Departure != nil {
 		w.departed = append(w.departed, *result.Departure)
 	}
@@ -171,6 +175,10 @@
 func (w *fakeCluster) Acquire(context.Context, []catkinspindle.Reservation) (func(), error) {
 	time.Sleep(w.reserveTime)
 	w.reserveTime = 0
+	if err := w.reserveErr; err != nil {
+		w.reserveErr = nil
+		return nil, err
+	}
 	return func() {}, nil
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -100,7 +100,8 @@
 }
 
 // reportReservation reports the result of an attempt for which a helper made no reservation. If the
-// helper did not answer, it is probed first.
+// helper did not answer, it is probed first. When it can be reached, it may only have been silent for a
+// moment: that counts as one failed attempt at it, so that only repeated ones make it suspected.
 func (x *exchange) reportReservation(result catkinspindle.AttemptResult, err error) {
 	g := x.gateway
 	helper, ok := x.replicas[result.FaultyReplica]
@@ -109,8 +110,11 @@
 		return
 	}
 	g.group.Go(func() error {
-		if g.probe(helper).outcome == catkinspindle.OutcomeNoPath {
+		switch g.probe(helper).outcome {
+		case catkinspindle.OutcomeNoPath:
 			result.Outcome, result.FaultyReplica = catkinspindle.OutcomeNoPath, ""
+		case catkinspindle.OutcomeFailed:
+			result.Replica, result.Outcome, result.FaultyReplica = helper.ID, catkinspindle.OutcomeFailed, ""
 		}
 		g.placer.ReportResult(result)
 		return nil
--- a/gateway/probe_test.go
+++ b/gateway/probe_test.go
@@ -5,13 +5,16 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/gateway"
+	"github.com/catkinspindle/catkinspindle/reservations"
 )
 
 // fixedProber is a Prober that always has the same result.
@@ -24,10 +27,11 @@
 	return p.relayed, p.err
 }
 
+func connectFailure(confirmed bool) error {
+	return &catkinspindle.ConnectFailure{Confirmed: confirmed, Err: errors.New("no connection")}
+}
+
 func TestBrokenPathsAreNotPutDownToReplicas(t *testing.T) {
-	connectFailure := func(confirmed bool) error {
-		return &catkinspindle.ConnectFailure{Confirmed: confirmed, Err: errors.New("no connection")}
-	}
 	unreachable := func(confirmed bool) scriptedAnswer {
 		return scriptedAnswer{err: catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "%w", connectFailure(confirmed))}
 	}
@@ -71,3 +75,34 @@
 		})
 	}
 }
+
+func TestSilentHelperIsNotSuspectedAtOnce(t *testing.T) {
+	noAnswer := &reservations.Failure{Replica: "r3", Err: catkinspindle.ErrNoAnswer}
+	tests := map[string]struct {
+		err    error
+		prober fixedProber
+		want   catkinspindle.AttemptResult
+	}{
+		"silent":                {noAnswer, fixedProber{}, catkinspindle.AttemptResult{Replica: "r3", Outcome: catkinspindle.OutcomeFailed}},
+		"unreachable for all":   {noAnswer, fixedProber{err: connectFailure(true)}, catkinspindle.AttemptResult{Replica: "r1", Outcome: catkinspindle.OutcomeRefused, FaultyReplica: "r3"}},
+		"unreachable from here": {noAnswer, fixedProber{relayed: true}, catkinspindle.AttemptResult{Replica: "r1", Outcome: catkinspindle.OutcomeNoPath}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &fakeCluster{steps: []scriptedAnswer{okAnswer}, reserveTime: time.Millisecond, reserveErr: tt.err}
+			g := newGateway(w, w, 9, true, gateway.WithProber(tt.prober))
+			answer := httptest.NewRecorder()
+			g.ServeHTTP(answer, newRequest("/any/"))
+			if err := g.Wait(); err != nil {
+				t.Error(err)
+			}
+			if answer.Code != http.StatusOK {
+				t.Errorf("status %d", answer.Code)
+			}
+			got := slices.DeleteFunc(w.reported, func(r catkinspindle.AttemptResult) bool { return r.Outcome == catkinspindle.OutcomeDone })
+			if diff := cmp.Diff([]catkinspindle.AttemptResult{tt.want}, got); diff != "" {
+				t.Errorf("results (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
