--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -4,13 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
 )
 
-// probeTimeout bounds the connection that shows whether a failed attempt was the replica's fault.
-const probeTimeout = 600 * time.Millisecond
+const (
+	// probeTimeout bounds the connection that shows whether a failed attempt was the replica's fault.
+	probeTimeout = 600 * time.Millisecond
+	// lateRejection is the time after which a rejection is late. It matches the time without data from
+	// which a replica counts as silent.
+	lateRejection = 400 * time.Millisecond
+)
 
 // Prober connects to replicas whose connections broke.
 type Prober interface {
@@ -85,7 +91,7 @@
 	g, b := x.gateway, x.broken
 	x.broken = nil
 	if b == nil || result.Outcome != catkinspindle.OutcomeFailed {
-		g.placer.ReportResult(result)
+		x.reportRefusal(result)
 		return
 	}
 	g.group.Go(func() error {
@@ -99,9 +105,40 @@
 	})
 }
 
+// reportRefusal reports the result of an attempt whose connection did not break. A helper that it
+// names is probed first if it may only have been silent.
+func (x *exchange) reportRefusal(result catkinspindle.AttemptResult) {
+	g := x.gateway
+	helper, ok := x.replicas[result.FaultyReplica]
+	if !ok || helper.ID == result.Replica || !x.maybeSilent(helper, result) {
+		g.placer.ReportResult(result)
+		return
+	}
+	g.group.Go(func() error {
+		if g.probe(helper).outcome == catkinspindle.OutcomeFailed {
+			result = failedHelper(result, helper)
+		}
+		g.placer.ReportResult(result)
+		return nil
+	})
+}
+
+// maybeSilent reports whether a rejection may name a helper that was only silent: it came late, or
+// replicas are silent now. A replica reports at once that a helper is full or leaving.
+func (x *exchange) maybeSilent(helper catkinspindle.Replica, result catkinspindle.AttemptResult) bool {
+	now, silence := time.Now(), x.gateway.silence
+	return result.Duration >= lateRejection || silence.Prevails(now, helper) || slices.Contains(silence.Silent(now, helper.Service), helper.ID)
+}
+
+// failedHelper returns a result that counts as one failed attempt at a helper that can be reached: it
+// may only have been silent for a moment, so that only repeated failures make it suspected.
+func failedHelper(result catkinspindle.AttemptResult, helper catkinspindle.Replica) catkinspindle.AttemptResult {
+	result.Replica, result.Outcome, result.FaultyReplica = helper.ID, catkinspindle.OutcomeFailed, ""
+	return result
+}
+
 // reportReservation reports the result of an attempt for which a helper made no reservation. If the
-// helper did not answer, it is probed first. When it can be reached, it may only have been silent for a
-// moment: that counts as one failed attempt at it, so that only repeated ones make it suspected.
+// helper did not answer, it is probed first.
 func (x *exchange) reportReservation(result catkinspindle.AttemptResult, err error) {
 	g := x.gateway
 	helper, ok := x.replicas[result.FaultyReplica]
@@ -114,7 +151,7 @@
 		case catkinspindle.OutcomeNoPath:
 			result.Outcome, result.FaultyReplica = catkinspindle.OutcomeNoPath, ""
 		case catkinspindle.OutcomeFailed:
-			result.Replica, result.Outcome, result.FaultyReplica = helper.ID, catkinspindle.OutcomeFailed, ""
+			result = failedHelper(result, helper)
 		}
 		g.placer.ReportResult(result)
 		return nil
--- a/gateway/probe_test.go
+++ b/gateway/probe_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -106,3 +107,49 @@
 		})
 	}
 }
+
+// lateSender answers after a delay.
+type lateSender struct {
+	*fakeCluster
+	delay time.Duration
+}
+
+// Send implements gateway.Sender.
+func (s lateSender) Send(ctx context.Context, e catkinspindle.Envelope, a catkinspindle.Attempt, once bool) (*catkinspindle.Answer, error) {
+	time.Sleep(s.delay)
+	return s.fakeCluster.Send(ctx, e, a, once)
+}
+
+func TestHelperNamedByALateRejectionIsNotSuspectedAtOnce(t *testing.T) {
+	suspected := catkinspindle.AttemptResult{Replica: "r1", Outcome: catkinspindle.OutcomeRefused, FaultyReplica: "r3"}
+	tests := map[string]struct {
+		delay  time.Duration
+		prober fixedProber
+		want   catkinspindle.AttemptResult
+	}{
+		"at once":                     {time.Millisecond, fixedProber{}, suspected},
+		"late":                        {600 * time.Millisecond, fixedProber{}, catkinspindle.AttemptResult{Replica: "r3", Outcome: catkinspindle.OutcomeFailed}},
+		"late, unreachable for all":   {600 * time.Millisecond, fixedProber{err: connectFailure(true)}, suspected},
+		"late, unreachable from here": {600 * time.Millisecond, fixedProber{err: connectFailure(false)}, suspected},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &fakeCluster{steps: []scriptedAnswer{{status: 503, notRun: true, faultyReplica: "at-r3"}, okAnswer}}
+				g := newGateway(w, lateSender{w, tt.delay}, 9, true, gateway.WithProber(tt.prober))
+				answer := httptest.NewRecorder()
+				g.ServeHTTP(answer, newRequest("/any/"))
+				if err := g.Wait(); err != nil {
+					t.Error(err)
+				}
+				if answer.Code != http.StatusOK {
+					t.Errorf("status %d", answer.Code)
+				}
+				got := slices.DeleteFunc(w.reported, func(r catkinspindle.AttemptResult) bool { return r.Outcome == catkinspindle.OutcomeDone })
+				if diff := cmp.Diff([]catkinspindle.AttemptResult{tt.want}, got); diff != "" {
+					t.Errorf("results (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
