Declare no node dead after this one was frozen

What callers saw: after a freeze of 1.1 s or more of a hub's VM, that node answered addresses without the other nodes and placed prompts as if their jobs had ended, for up to two seconds; the load of the replicas that they used counted as free there.

Cause: a hub takes 1.1 s without a heartbeat for the death of the node that sends them. After its own freeze that holds for all nodes at once, and those that missed it do not send it heartbeats again for hubCooldown (2 s). Class: one observer's own silence is taken for the failure of everything else.

A node whose heartbeats were late by a whole interval now treats the nodes that it took for live as alive for firstHeartbeatTimeout, as after its start. A node that died meanwhile is found dead 3 s after the freeze instead of at once.

Ruled out: a frozen node that is no hub is taken back with its first heartbeat, and reports its open jobs again because it sees its hubs silent too.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,6 +35,8 @@
 	// firstHeartbeatTimeout is the time within which all nodes connect to a node that has just
 	// started: they do not use it as a hub for hubCooldown, and a handshake takes milliseconds.
 	firstHeartbeatTimeout = 3 * time.Second
+	// maxTickDelay is the time between two heartbeats from which this node may have been frozen.
+	maxTickDelay = 2 * heartbeatInterval
 	// maxLostNodeLogs limits the log lines about nodes that are lost at the same time.
 	maxLostNodeLogs = 5
 	// hubCooldown is the time during which a hub that does not respond is not used.
@@ -116,8 +118,9 @@
 	replaced   []catkinspindle.Node
 	rateLimits *ratelimits.Table
 	quarantine *quarantine.Table
-	// wake requests a heartbeat before the next interval.
-	wake chan struct{}
+	// wake requests a heartbeat before the next interval, lastTick is when the last one began.
+	wake     chan struct{}
+	lastTick time.Time
 	// coordinatorSince is the time since which this node is the coordinator, zero if it is
 	// not. hubsSince is when the responding hubs last changed.
 	coordinatorSince time.Time
@@ -348,14 +351,6 @@
 	}
 }
 
-// Wake sends the next heartbeat at once.
-func (f *Fleet) Wake() {
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
-}
-
 // LiveNodes returns the nodes that accept callers.
 func (f *Fleet) LiveNodes() []catkinspindle.Node {
 	f.mu.Lock()
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -80,6 +80,14 @@
 	QuarantineAt uint64                          `cbor:"16,keyasint,omitempty"`
 }
 
+// Wake sends the next heartbeat at once.
+func (f *Fleet) Wake() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // exchangeHeartbeat sends a heartbeat to a hub, records the result and exchanges what either
 // side lacks.
 func (f *Fleet) exchangeHeartbeat(ctx context.Context, to catkinspindle.Node, m heartbeatRequest) {
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -45,6 +45,7 @@
 	now := time.Now()
 	f.view.ExpireMissing(now)
 	f.mu.Lock()
+	f.excuseSilence(now)
 	currentHubs := f.hubs(now)
 	isHub := false
 	hubResponds, hubReachesStore := false, false
@@ -255,6 +256,20 @@
 	return lost
 }
 
+// excuseSilence treats the live nodes as alive for firstHeartbeatTimeout if this node has sent no
+// heartbeats for a while. It was probably frozen: the silence was its own, and those that have missed
+// it as a hub do not use it for hubCooldown.
+func (f *Fleet) excuseSilence(now time.Time) {
+	if !f.lastTick.IsZero() && now.Sub(f.lastTick) > maxTickDelay {
+		for _, n := range f.members {
+			if !n.dead {
+				n.presumedAliveUntil = now.Add(firstHeartbeatTimeout)
+			}
+		}
+	}
+	f.lastTick = now
+}
+
 // presumeAlive treats the nodes in the previous coordinator's list, or all known nodes if
 // there is none, as alive until they have had time to send a heartbeat to this node:
 // firstHeartbeatTimeout for those that never did, since hundreds connect to a node that has
