--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -34,6 +34,10 @@
 
 func (noProber) Probe(context.Context, catkinspindle.Replica) (bool, error) { return false, nil }
 
+// MostSilent reports whether most of the other replicas of r's service that this node awaits data from
+// are silent.
+func (g *Gateway) MostSilent(r catkinspindle.Replica) bool { return g.silence.Prevails(time.Now(), r) }
+
 // probeResult is what a probe of a replica has shown.
 type probeResult struct {
 	// outcome is what a broken attempt at the replica says about it.
@@ -126,8 +130,8 @@
 // maybeSilent reports whether a rejection may name a helper that was only silent: it came late, or
 // replicas are silent now. A replica reports at once that a helper is full or leaving.
 func (x *exchange) maybeSilent(helper catkinspindle.Replica, result catkinspindle.AttemptResult) bool {
-	now, silence := time.Now(), x.gateway.silence
-	return result.Duration >= lateRejection || silence.Prevails(now, helper) || slices.Contains(silence.Silent(now, helper.Service), helper.ID)
+	g := x.gateway
+	return result.Duration >= lateRejection || g.MostSilent(helper) || slices.Contains(g.silence.Silent(time.Now(), helper.Service), helper.ID)
 }
 
 // failedHelper returns a result that counts as one failed attempt at a helper that can be reached: it
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -129,7 +129,8 @@
 	n.paths = paths.New(paths.WithOnLost(n.pathsChanged))
 	n.relays = relays.New(n.direct, n.paths, n.log)
 	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics), replicas.WithConnector(n.relays), replicas.WithIdleCheck(n.paths.MayReuse))
-	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving), platform.WithConnector(n.relays)), n.log)
+	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving), platform.WithConnector(n.relays)), n.log,
+		reservations.WithSilence(func(r catkinspindle.Replica) bool { return n.gateway.MostSilent(r) }))
 	n.retryBudget = retries.New(s.Retry, 1)
 	n.view = view.New(n.viewChanged, view.WithProbation(probationHeartbeats*s.ReplicaHeartbeat))
 	n.gateway = gateway.New(n.view, n, n.replicas, n.reserver, n.retryBudget,
--- a/reservations/manager.go
+++ b/reservations/manager.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -26,6 +28,9 @@
 	// maxReleaseAttempts bounds the attempts to release a reservation. When all of
 	// them fail, the lease expires.
 	maxReleaseAttempts = 2
+	// maxSilence bounds the time in which an order to reserve memory is repeated while most replicas are
+	// silent. A sound one may be silent for a second.
+	maxSilence = 1200 * time.Millisecond
 )
 
 // Manager acquires, renews and releases reservations.
@@ -33,11 +38,27 @@
 	memory catkinspindle.MemoryReserver
 	log    *slog.Logger
 	group  errgroup.Group
+	// mostSilent reports whether most of the other replicas of a replica's service are silent.
+	mostSilent func(catkinspindle.Replica) bool
+}
+
+// Option configures a Manager.
+type Option func(*Manager)
+
+// WithSilence sets the function that reports whether most of the other replicas of a replica's service
+// are silent. An order without an answer is then repeated, since another replica would not answer
+// sooner. Without it every silence counts as the replica's failure.
+func WithSilence(mostSilent func(catkinspindle.Replica) bool) Option {
+	return func(k *Manager) { k.mostSilent = mostSilent }
 }
 
 // New returns a Manager that makes and releases reservations through r.
-func New(r catkinspindle.MemoryReserver, log *slog.Logger) *Manager {
-	return &Manager{memory: r, log: log}
+func New(r catkinspindle.MemoryReserver, log *slog.Logger, opts ...Option) *Manager {
+	k := &Manager{memory: r, log: log, mostSilent: func(catkinspindle.Replica) bool { return false }}
+	for _, opt := range opts {
+		opt(k)
+	}
+	return k
 }
 
 // Failure reports a reservation that could not be made.
@@ -64,7 +85,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	for _, r := range list {
 		group.Go(func() error {
-			if err := k.memory.Reserve(groupCtx, r); err != nil {
+			if err := k.reserve(groupCtx, r); err != nil {
 				return &Failure{Replica: r.Replica.ID, Err: err}
 			}
 			return nil
@@ -88,6 +109,24 @@
 	}, nil
 }
 
+// reserve makes a reservation. A repeated order has the same ID, so that a replica that executes the
+// earlier ones late makes one reservation.
+func (k *Manager) reserve(ctx context.Context, r catkinspindle.Reservation) error {
+	for start := time.Now(); ; {
+		err := k.memory.Reserve(ctx, r)
+		if !timedOut(err) || ctx.Err() != nil || time.Since(start) >= maxSilence || !k.mostSilent(r.Replica) {
+			return err
+		}
+	}
+}
+
+// timedOut reports whether err means that the replica did not answer in time. One whose connection
+// failed is not silent.
+func timedOut(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, catkinspindle.ErrNoAnswer) && errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (k *Manager) renew(ctx context.Context, r catkinspindle.Reservation) {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
