--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -73,6 +73,7 @@
 	firstEvents    []time.Duration
 	departed       []catkinspindle.Departure
 	faultyReplicas []string
+	reported       []catkinspindle.AttemptResult
 	avoided        [][]string
 	refusal        *catkinspindle.Placement
 	placed         int
@@ -89,6 +90,8 @@
 	// reservations ended.
 	retryPlacingTime time.Duration
 	releases         []time.Time
+	// reserveErr is the error of the next reservation.
+	reserveErr error
 	// leaving is the replica that begins to leave right after a placement.
 	leaving string
 	view    *view.View
@@ -142,6 +145,7 @@
 	w.outcomes = append(w.outcomes, result.Outcome)
 	w.firstEvents = append(w.firstEvents, result.TimeToFirstEvent)
 	w.faultyReplicas = append(w.faultyReplicas, result.FaultyReplica)
+	w.reported = append(w.reported, catkinspindle.AttemptResult{Replica: result.Replica, Outcome: result.Outcome, FaultyReplica: result.FaultyReplica})
 	if result.Departure != nil {
 		w.departed = append(w.departed, *result.Departure)
 	}
@@ -181,6 +185,10 @@
 func (w *fakeCluster) Acquire(context.Context, []catkinspindle.Reservation) (func(), error) {
 	time.Sleep(w.reserveTime)
 	w.reserveTime = 0
+	if err := w.reserveErr; err != nil {
+		w.reserveErr = nil
+		return nil, err
+	}
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
