--- a/standin/commands/commands.go
+++ b/standin/commands/commands.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platformCommand(), engineCommand(), weightsCommand(), plainCommand())
+	root.AddCommand(platformCommand(), engineCommand(), weightsCommand(), plainCommand(), replicaCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
