--- a/proofs/processes_test.go
+++ b/proofs/processes_test.go
@@ -54,13 +54,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
-	t.Cleanup(func() {
-		for _, cmd := range m.running {
-			_ = cmd.Process.Signal(syscall.SIGCONT)
-			_ = cmd.Process.Kill()
-			_ = cmd.Wait()
-		}
-	})
+	t.Cleanup(m.killAll)
 	m.platform = "http://" + m.address("platform")
 	m.start("platform", "standin", "platform", "--lag", "200ms", "--listen", m.address("platform"))
 	m.await("platform", func() error { return get(m.platform+"/vms", nil) })
@@ -94,21 +88,6 @@
 	return m.addresses[name]
 }
 
-func (m *processFleet) start(name, program string, args ...string) {
-	m.t.Helper()
-	cmd := exec.Command(filepath.Join(m.dir, program), args...)
-	log, err := os.OpenFile(filepath.Join(m.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	defer func() { _ = log.Close() }()
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		m.t.Fatal(err)
-	}
-	m.running[name] = cmd
-}
-
 func (m *processFleet) startEngine(name string) {
 	m.start(name, "standin", "engine", "--name", name, "--listen", m.address(name))
 	m.register(catkinspindle.VM{Name: name, Kind: catkinspindle.KindEngine, Address: m.address(name), DataCentre: "dc-0", Deployment: "gpu"})
@@ -118,18 +97,6 @@
 	m.start(name, "catkinspindle", "node", "--settings", filepath.Join(m.dir, name+".yaml"))
 }
 
-func (m *processFleet) signal(name string, s syscall.Signal) {
-	if err := m.running[name].Process.Signal(s); err != nil {
-		m.t.Error(err)
-	}
-}
-
-// kill sends SIGKILL to a process and reaps it.
-func (m *processFleet) kill(name string) {
-	m.signal(name, syscall.SIGKILL)
-	_ = m.running[name].Wait()
-}
-
 func (m *processFleet) register(vm catkinspindle.VM) {
 	data, err := json.Marshal(vm)
 	if err != nil {
@@ -208,19 +175,6 @@
 	return catkinspindle.Request{Model: "m", Prompt: promptText(name, tokens), MaxTokens: 64, Deadline: time.Now().Add(20 * time.Second)}
 }
 
-// await polls check until it succeeds and fails the test after the timeout.
-func (m *processFleet) await(what string, check func() error) {
-	m.t.Helper()
-	var err error
-	for end := time.Now().Add(awaitTimeout); time.Now().Before(end); {
-		if err = check(); err == nil {
-			return
-		}
-		<-time.After(100 * time.Millisecond)
-	}
-	m.t.Fatalf("timed out waiting for %s: %v", what, err)
-}
-
 func get(url string, v any) error {
 	resp, err := http.Get(url)
 	if err != nil {
