Count no rejection as an attempt while a standby runs

Cause: the standby's count of replicas that may run the request still included the first one, so no third was asked although nothing had run there. The count now follows the attempts beside it. The case of TestDoubtfulStandbys failed before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
@@ -26,9 +27,12 @@
 	release        func()
 	answer         *catkinspindle.Answer
 	events         *eventstream.Reader
-	// counted is true once the attempt is in the count of sent ones.
-	counted bool
-	closed  bool
+	// counted is true once the attempt is in the count of sent ones, rejected if it is there
+	// although the replica has rejected it.
+	counted, rejected bool
+	// notRun is true once it is known that the replica has not run the request and will not.
+	notRun atomic.Bool
+	closed bool
 	// peeked is an event that has been read and not yet been forwarded, or the end of the stream.
 	peeked *peekedEvent
 	// body has the begin of an answer that is no stream, at most maxBufferedBytes and one byte.
@@ -220,6 +224,7 @@
 // handleSendError handles an attempt that ended without an answer.
 func (x *exchange) handleSendError(a *attempt, err error) {
 	if catkinspindle.AsFailure(err).Verdict == catkinspindle.NotRun {
+		a.notRun.Store(true)
 		a.result.Outcome, _ = connectOutcome(err)
 		x.logFailedAttempt(a, a.result.Outcome.String(), err)
 		x.skipUnsent(a, a.placement.Replica)
@@ -239,7 +244,9 @@
 		x.rejected++
 	} else {
 		x.sent++
+		a.rejected = true
 	}
+	a.notRun.Store(true)
 	a.result.Outcome = catkinspindle.OutcomeRefused
 	a.result.FaultyReplica = x.resolveFaultyReplica(a.answer.FaultyReplica)
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.answer.Body, readChunk)) // Drained so that the connection can be reused.
@@ -276,7 +283,7 @@
 	if x.responseBegun && x.route.RetryMode != catkinspindle.RetryResume {
 		return x.fail(catkinspindle.ReasonBackendFailed, "the stream broke and its route does not allow resuming")
 	}
-	if x.sent >= x.route.MaxAttempts || x.rejected >= maxRejected {
+	if x.mayRun() >= x.route.MaxAttempts || x.rejected >= maxRejected {
 		return x.fail(catkinspindle.ReasonBackendFailed, "all attempts failed")
 	}
 	return x.unsentFailure()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,8 +53,10 @@
 	keys    []catkinspindle.RequestKey
 	isTrial bool
 
-	// standby is true in the copy that a takeover uses.
+	// standby is true in the copy that a takeover uses, beside has the attempts that run beside it
+	// and are not in sent.
 	standby bool
+	beside  []*attempt
 	// sent counts the attempts in which the request was written to a replica, unsent those that
 	// failed before that. rejected counts the rejections that are not in sent.
 	sent     int
@@ -169,7 +171,18 @@
 }
 
 // arrivals returns how often the request has been sent to a replica.
-func (x *exchange) arrivals() int { return x.sent + x.rejected }
+func (x *exchange) arrivals() int { return x.sent + x.rejected + len(x.beside) }
+
+// mayRun returns how many replicas the request may have run on.
+func (x *exchange) mayRun() int {
+	n := x.sent
+	for _, a := range x.beside {
+		if !a.notRun.Load() {
+			n++
+		}
+	}
+	return n
+}
 
 // attempt sends the request to the placed replica, and to others while that one is silent. done is
 // true when the caller has its answer; if done is false and f is nil, another attempt follows.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,6 +45,8 @@
 	status int
 	notRun bool
 	body   string
+	// headAfter is the time before the head of the answer.
+	headAfter time.Duration
 	// broken truncates the answer after body; silent keeps it open without further data.
 	broken, silent bool
 	// repeated is sent repeatedly after body until the attempt is cancelled.
@@ -160,6 +162,11 @@
 	}
 	s := w.steps[0]
 	w.steps = w.steps[1:]
+	if s.headAfter > 0 {
+		w.mu.Unlock()
+		time.Sleep(s.headAfter)
+		w.mu.Lock()
+	}
 	if s.err != nil {
 		return nil, s.err
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -43,7 +43,7 @@
 // retry would be refused as well.
 func (x *exchange) heldFailure() *catkinspindle.Failure {
 	key, held := x.gateway.quarantine.Held(time.Now(), x.keys)
-	if !held || (x.isTrial && x.sent == 0) {
+	if !held || (x.isTrial && x.arrivals() == 0) {
 		return nil
 	}
 	return catkinspindle.Fail(x.verdict, catkinspindle.ReasonQuarantined, "replicas have crashed under requests with the key %s", key)
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -37,6 +37,7 @@
 		"the end is taken over from a hung replica":                {"/quick/", []scriptedAnswer{silent(firstEvent), {status: 200}}, outcome{200, firstEvent, false, 2}, 2 * time.Second},
 		"an error is not held back":                                {"/quick-any/", []scriptedAnswer{silent(""), errorAnswer}, outcome{500, "oops", false, 2}, 2 * time.Second},
 		"an error is not held back for a hung standby":             {"/quick-any/", []scriptedAnswer{{status: 500, rest: "oops", pause: 1500 * time.Millisecond}, silent("")}, outcome{500, "oops", false, 2}, 3 * time.Second},
+		"a rejection while a hung standby runs is no attempt":      {"/quick/", []scriptedAnswer{{status: 503, notRun: true, headAfter: 1500 * time.Millisecond}, silent(""), {status: 200, body: firstEvent}}, outcome{200, firstEvent, false, 3}, 2500 * time.Millisecond},
 		"two replicas that hang one after the other are both left": {"/quick-of-three/", []scriptedAnswer{silent(firstEvent), silent(secondEvent), {status: 200, body: thirdEvent}}, outcome{200, firstEvent + secondEvent + thirdEvent, false, 3}, 3 * time.Second},
 	}
 	for name, tt := range tests {
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -75,7 +75,7 @@
 	standby := *x
 	standby.standby = true
 	if !a.counted {
-		standby.sent++
+		standby.beside = append(slices.Clone(x.beside), a)
 	}
 	standby.avoid = append(slices.Clone(x.avoid), a.placement.Replica)
 	t := &takeover{
@@ -227,6 +227,12 @@
 		t.cancelStandby(errOver)
 	}
 	t.mu.Unlock()
+	if done != nil && !over && t.running.rejected {
+		// The request may still run elsewhere, so the rejection does not count as an attempt.
+		t.running.rejected = false
+		x.sent--
+		x.rejected++
+	}
 	if done != nil {
 		if limit > 0 {
 			timer := time.AfterFunc(limit, func() { t.cancelStandby(errOver) })
