Seek a place for a begun stream while there is time

Cause: a refusal by the placer was final. A caller that has nothing can be told to return, one that has a part of a stream cannot. Such a stream is offered again every 100 ms for a second; the retry budget is drawn on once.

TestBegunStreamWaitsForAPlaceWhenItsReplicaBreaks failed before.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,6 +30,9 @@
 	minRetryAfter = 250 * time.Millisecond
 	// permitLifetime is how long after its time a request may be sent to a rate-limited replica.
 	permitLifetime = 300 * time.Millisecond
+	// maxRefusedTime is how long a stream that has begun is offered to the placer again when it is
+	// refused.
+	maxRefusedTime = time.Second
 	// callerWriteTimeout is the write timeout for a single event or chunk sent to the caller.
 	callerWriteTimeout = 5 * time.Second
 )
@@ -116,6 +119,10 @@
 	defer context.AfterFunc(g.ended, func() { cancelCause(errNodeStopped) })()
 	x.lastEventID = x.envelope.AfterEvent
 	x.checkTrial(ctx)
+	var (
+		counted      bool // The next retry is in the budget.
+		refusedSince time.Time
+	)
 	for {
 		if f := x.contextFailure(ctx); f != nil {
 			return f
@@ -123,9 +130,10 @@
 		if f := x.heldFailure(); f != nil {
 			return f
 		}
-		if x.arrivals() > 0 && !g.budget.AllowRetry(time.Now(), x.service) {
+		if x.arrivals() > 0 && !counted && !g.budget.AllowRetry(time.Now(), x.service) {
 			return x.fail(catkinspindle.ReasonBackendFailed, "retry budget exhausted")
 		}
+		counted = true
 		p := x.place(ctx, x.avoid)
 		if f := x.contextFailure(ctx); f != nil {
 			if !p.Refused() {
@@ -134,8 +142,17 @@
 			return f
 		}
 		if p.Refused() {
+			if refusedSince.IsZero() {
+				refusedSince = time.Now()
+			}
+			if x.responseBegun && time.Since(refusedSince) < maxRefusedTime {
+				// A caller that has a part of the stream cannot be told to return.
+				_ = sleep(ctx, standbyRetry) // The loop checks ctx.
+				continue
+			}
 			return x.refusal(p)
 		}
+		counted, refusedSince = false, time.Time{}
 		if f := x.waitDelay(ctx, p); f != nil {
 			return f
 		}
@@ -146,6 +163,18 @@
 	}
 }
 
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 var errNodeStopped = errors.New("the node stops")
 
 // contextFailure returns a failure if the deadline has passed, the caller has disconnected or
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -93,6 +93,16 @@
 	})
 }
 
+func TestBegunStreamWaitsForAPlaceWhenItsReplicaBreaks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeCluster{steps: []scriptedAnswer{{status: 200, body: firstEvent, broken: true}, {status: 200, body: secondEvent}}, overloadedUntil: time.Now().Add(500 * time.Millisecond)}
+		answer, aborted := serveAborted(newGateway(w, w, 1.2, true), "/quick/")
+		if aborted || answer.Body.String() != firstEvent+secondEvent {
+			t.Errorf("body %q, aborted %t", answer.Body, aborted)
+		}
+	})
+}
+
 // Replicas that hang for good are left for one that answers, and each one is told only once.
 func TestHungReplicaIsLeftForOneThatAnswers(t *testing.T) {
 	tests := map[string]struct {
