See a shared silence at the head of an answer

Cause: since the head of an answer counts as data, its first event no longer follows a silence, so the time to the first event was measured as the replica's again after a silence of the whole service. The head now tells, and only a silence of 900 ms or more counts: under load replicas are silent for less, and then their slowness must be measured.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,9 @@
 	"github.com/catkinspindle/catkinspindle/silence"
 )
 
+// minUnmeasuredSilence is the shared silence from which the times of an attempt are not measured.
+const minUnmeasuredSilence = 900 * time.Millisecond
+
 // attempt is one attempt at the replica of a placement. It is used by one goroutine at a time.
 type attempt struct {
 	placement catkinspindle.Placement
@@ -134,15 +137,21 @@
 
 // receiveData records that an event of a, or its whole answer, has arrived.
 func (x *exchange) receiveData(a *attempt) {
+	x.receiveBytes(a, x.route.MaxEventGap)
+	if a.result.TimeToFirstEvent == 0 {
+		a.result.TimeToFirstEvent = a.dataAt.Sub(a.startedAt)
+	}
+}
+
+// receiveBytes records that the head or data of the answer of a has arrived. More is expected within the given
+// time.
+func (x *exchange) receiveBytes(a *attempt, within time.Duration) {
 	a.dataAt = time.Now()
 	t := x.gateway.silence
-	wasSilent := t.Receive(a.dataAt, a.replica, a.placement.JobID, x.route.MaxEventGap)
-	if a.result.TimeToFirstEvent > 0 {
-		return
-	}
-	a.result.TimeToFirstEvent = a.dataAt.Sub(a.startedAt)
-	if wasSilent && t.Prevails(a.dataAt, a.replica) {
-		// The whole service was silent, which says nothing about the speed of this replica.
+	silence := t.Receive(a.dataAt, a.replica, a.placement.JobID, within)
+	if a.result.TimeToFirstEvent == 0 && silence >= minUnmeasuredSilence && t.Prevails(a.dataAt, a.replica) {
+		// The whole service was silent, which says nothing about the speed of this replica. Under
+		// load it is silent for less.
 		a.unmeasured = true
 	}
 }
@@ -150,7 +159,8 @@
 // send sends the request once and applies the replica's state that the answer reports. answered is
 // true if the replica has begun to answer and does not state that it did not run the request.
 func (x *exchange) send(a *attempt, helpers []catkinspindle.Helper, probe bool) (answered bool) {
-	a.dataAt = time.Now()
+	sentAt := time.Now()
+	a.dataAt = sentAt
 	answer, err := x.gateway.sender.Send(a.ctx, x.envelope, catkinspindle.Attempt{
 		Replica:    a.replica,
 		Workspace:  x.workspace,
@@ -162,7 +172,7 @@
 	}, x.route.RetryMode == catkinspindle.RetryNever)
 	if err == nil {
 		x.applyReplicaState(a.replica, answer, &a.result)
-		x.recordRateLimit(a.dataAt, a.replica, answer)
+		x.recordRateLimit(sentAt, a.replica, answer)
 	}
 	if probe {
 		x.gateway.cooldown.EndProbe(a.replica)
@@ -172,7 +182,7 @@
 		return false
 	}
 	a.answer = answer
-	x.gateway.silence.Receive(time.Now(), a.replica, a.placement.JobID, 2*a.placement.ExpectedFirstEvent)
+	x.receiveBytes(a, 2*a.placement.ExpectedFirstEvent)
 	if answer.NotRun {
 		x.handleRejection(a)
 		return false
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -23,12 +23,15 @@
 	// pauses has the begin and the end of the pause of each replica, from the start of a stream.
 	pauses map[string][2]time.Duration
 	events int
+	// headTime is the time before the head of an answer; its first event comes with it.
+	headTime time.Duration
 }
 
 func (r *pausedReplicas) Send(ctx context.Context, _ catkinspindle.Envelope, a catkinspindle.Attempt, _ bool) (*catkinspindle.Answer, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.attempts = append(r.attempts, a)
+	r.mu.Unlock()
+	time.Sleep(r.headTime)
 	return &catkinspindle.Answer{
 		AnswerHead: catkinspindle.AnswerHead{Status: http.StatusOK, Header: http.Header{}},
 		Body:       io.NopCloser(&pausedReader{ctx: ctx, pause: r.pauses[a.Replica.ID], events: r.events, start: time.Now()}),
@@ -118,15 +121,17 @@
 	pause := [2]time.Duration{0, 1100 * time.Millisecond}
 	tests := map[string]struct {
 		pauses   map[string][2]time.Duration
+		headTime time.Duration
 		measured []time.Duration
 	}{
-		"all are paused": {map[string][2]time.Duration{"r1": pause, "r2": pause, "r3": pause}, []time.Duration{0, 0, 0}},
-		"one is paused":  {map[string][2]time.Duration{"r1": pause}, []time.Duration{100 * time.Millisecond, 100 * time.Millisecond, 1100 * time.Millisecond}},
+		"all heads are late": {nil, 1100 * time.Millisecond, []time.Duration{0, 0, 0}},
+		"all are paused":     {map[string][2]time.Duration{"r1": pause, "r2": pause, "r3": pause}, 0, []time.Duration{0, 0, 0}},
+		"one is paused":      {map[string][2]time.Duration{"r1": pause}, 0, []time.Duration{100 * time.Millisecond, 100 * time.Millisecond, 1100 * time.Millisecond}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				replicas := &pausedReplicas{fakeCluster: &fakeCluster{}, pauses: tt.pauses, events: 30}
+				replicas := &pausedReplicas{fakeCluster: &fakeCluster{}, pauses: tt.pauses, events: 30, headTime: tt.headTime}
 				serveOnEach(t, replicas, "r1", "r2", "r3")
 				slices.Sort(replicas.firstEvents)
 				if diff := cmp.Diff(tt.measured, replicas.firstEvents); diff != "" {
--- a/silence/table.go
+++ b/silence/table.go
@@ -63,20 +63,20 @@
 }
 
 // Receive records that data has arrived for an attempt at r, which expects more within the given
-// time. It reports whether r was silent until then.
-func (t *Table) Receive(now time.Time, r catkinspindle.Replica, attempt string, within time.Duration) (wasSilent bool) {
+// time. It returns how long r was silent until then, zero if it was not.
+func (t *Table) Receive(now time.Time, r catkinspindle.Replica, attempt string, within time.Duration) (silence time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[r.ID]
 	if !ok || !e.replica.SameIncarnation(r) {
-		return false
+		return 0
 	}
-	if wasSilent = e.silent(now); wasSilent {
-		e.returnedAt = now
+	if e.silent(now) {
+		silence, e.returnedAt = now.Sub(e.quietSince), now
 	}
 	e.quietSince = now
 	e.due[attempt] = now.Add(max(minSilence, within))
-	return wasSilent
+	return silence
 }
 
 // End records that an attempt at r awaits no more data.
