Count the ends of callers' requests and connections

A try that no node's log knows could not be told apart: idle closes were the only ones counted, a panic of a handler was a debug line of net/http without the request, and nothing said whether part of a request had arrived on a connection that was closed.

Each close of a caller's connection now has a reason, in a counter and in event 5004 (info for closes that the node decides, debug for the others), and requests are counted when they begin and when they end. No behaviour changes.

--- a/events/event.go
+++ b/events/event.go
@@ -29,6 +29,8 @@
 	ReplicaCrashed    Event = 4007
 	Quarantined       Event = 4008
 	RequestEnded      Event = 5003
+	ConnectionClosed  Event = 5004
+	HandlerPanicked   Event = 5005
 	LinesDropped      Event = 1006
 	LibraryMessage    Event = 1007
 	PeerMalformed     Event = 3001
--- a/gatewaynode/listeners.go
+++ b/gatewaynode/listeners.go
@@ -59,7 +59,7 @@
 	}
 	return &listeners{
 		settings: s,
-		callers:  httpserver.New(callers, log, httpserver.WithOnIdleClosed(countIdleClosed)),
+		callers:  httpserver.New(callers, log, httpserver.WithOnIdleClosed(countIdleClosed), httpserver.WithMetrics(registry)),
 		handlers: map[string]http.Handler{s.Ready: readyMux, s.Addresses: addressesMux, s.Metrics: metricsMux},
 		log:      log,
 	}
--- /dev/null
+++ b/httpserver/account.go
@@ -0,0 +1,91 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/catkinspindle/catkinspindle/events"
+)
+
+// reason says why a connection was closed.
+type reason string
+
+const (
+	// reasonCaller means that the caller closed the connection or that it broke.
+	reasonCaller reason = "caller"
+	// reasonAnswered means that the last answer announced the close.
+	reasonAnswered reason = "answered"
+	// reasonAborted means that the handler gave up a request without a complete answer.
+	reasonAborted       reason = "aborted"
+	reasonMalformed     reason = "malformed"
+	reasonIdle          reason = "idle-timeout"
+	reasonHeaderTimeout reason = "header-timeout"
+	reasonHeaderSize    reason = "header-size"
+	reasonStop          reason = "stop"
+)
+
+// Names of counters. Requests that are neither ended nor in flight have got lost.
+const (
+	closedCounter  = "caller-connections-closed-"
+	begunCounter   = "caller-requests-begun"
+	endedCounter   = "caller-requests-ended"
+	abortedCounter = "caller-requests-aborted"
+)
+
+// account counts requests and their ends, and logs panics of the handler.
+type account struct {
+	handler               http.Handler
+	begun, ended, aborted metrics.Counter
+	registry              metrics.Registry
+	log                   *slog.Logger
+}
+
+func newAccount(h http.Handler, registry metrics.Registry, log *slog.Logger) *account {
+	return &account{
+		handler:  h,
+		begun:    metrics.GetOrRegisterCounter(begunCounter, registry),
+		ended:    metrics.GetOrRegisterCounter(endedCounter, registry),
+		aborted:  metrics.GetOrRegisterCounter(abortedCounter, registry),
+		registry: registry,
+		log:      log,
+	}
+}
+
+type connKey struct{}
+
+// ServeHTTP implements http.Handler.
+func (a *account) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.begun.Inc(1)
+	defer func() {
+		v := recover()
+		if v == nil {
+			a.ended.Inc(1)
+			return
+		}
+		a.aborted.Inc(1)
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.abort()
+		}
+		if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			a.log.Error("handler panicked", events.HandlerPanicked.Attr(), "host", r.Host, "target", r.RequestURI, "panic", v)
+		}
+		panic(v)
+	}()
+	a.handler.ServeHTTP(w, r)
+}
+
+// connectionClosed records the end of a connection.
+func (a *account) connectionClosed(c *conn, why reason, since time.Duration, headerBytes, requests int) {
+	metrics.GetOrRegisterCounter(closedCounter+string(why), a.registry).Inc(1)
+	level := slog.LevelInfo
+	if why == reasonCaller || why == reasonAnswered {
+		level = slog.LevelDebug
+	}
+	a.log.Log(context.Background(), level, "caller's connection closed", events.ConnectionClosed.Attr(), "reason", string(why),
+		"caller", c.RemoteAddr().String(), "since", since, "header-bytes", headerBytes, "requests", requests)
+}
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -53,6 +53,11 @@
 	// headerBytes is the number of bytes read since the end of the last request, maxHeader the limit
 	// when the header began.
 	headerBytes, maxHeader int
+	// requests counts the requests that were read. reason is why the connection is closed, if that
+	// is known.
+	requests int
+	reason   reason
+	closed   bool
 }
 
 // Read implements net.Conn.
@@ -66,7 +71,11 @@
 		if n > 0 {
 			c.received(n)
 		}
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.mayReadAgain() {
+		expired := errors.Is(err, os.ErrDeadlineExceeded)
+		if err != nil && !expired {
+			c.closeFor(reasonCaller)
+		}
+		if n > 0 || !expired || !c.mayReadAgain() {
 			return n, err
 		}
 	}
@@ -85,6 +94,7 @@
 // rejectHeader answers a request whose header exceeds the limit and closes the connection, because
 // net/http takes a header line that has been read in part for a malformed one and answers that.
 func (c *conn) rejectHeader() error {
+	c.closeFor(reasonHeaderSize)
 	const status = http.StatusRequestHeaderFieldsTooLarge
 	text := strconv.Itoa(status) + " " + http.StatusText(status)
 	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
@@ -125,12 +135,52 @@
 		c.pastDeadline = true
 		return c.Conn.SetReadDeadline(now.Add(lastReadTimeout)) == nil
 	}
+	c.reason = reasonHeaderTimeout
 	if c.phase == phaseIdle {
+		c.reason = reasonIdle
 		c.server.onIdleClosed(c.server.limits.Load().IdleTimeout)
 	}
 	return false
 }
 
+// closeFor records why the connection is about to be closed. The first reason counts.
+func (c *conn) closeFor(why reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reason == "" {
+		c.reason = why
+	}
+}
+
+// abort records that the handler has given up its request.
+func (c *conn) abort() { c.closeFor(reasonAborted) }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	why, first := c.closeReason(), !c.closed
+	c.closed = true
+	since, headerBytes, requests := time.Since(c.since), c.headerBytes, c.requests
+	c.mu.Unlock()
+	if first {
+		c.server.account.connectionClosed(c, why, since, headerBytes, requests)
+	}
+	return c.Conn.Close()
+}
+
+// closeReason returns why the connection is closed. The caller holds c.mu.
+func (c *conn) closeReason() reason {
+	switch {
+	case c.reason != "":
+		return c.reason
+	case c.server.closing.Load():
+		return reasonStop
+	case c.phase == phaseHeader:
+		return reasonMalformed
+	}
+	return reasonAnswered
+}
+
 // SetReadDeadline implements net.Conn. Before a request has been read, it serves to tell the phases:
 // net/http sets a deadline when the first bytes of a header have been read, and removes it when the
 // header is complete.
@@ -147,7 +197,8 @@
 		if !t.IsZero() {
 			return nil
 		}
-		c.phase = phaseRequest
+		c.phase, c.since = phaseRequest, time.Now()
+		c.requests++
 	case phaseRequest:
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -2,6 +2,7 @@
 package httpserver
 
 import (
+	"context"
 	"log/slog"
 	"maps"
 	"math"
@@ -12,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/catkinspindle/catkinspindle"
 )
 
@@ -30,8 +33,11 @@
 // Server is an HTTP server. New limits hold for open connections too.
 type Server struct {
 	server       *http.Server
+	account      *account
+	registry     metrics.Registry
 	onIdleClosed func(timeout time.Duration)
 	limits       atomic.Pointer[catkinspindle.TrafficLimits]
+	closing      atomic.Bool
 
 	mu          sync.Mutex
 	connections map[*conn]struct{}
@@ -46,19 +52,24 @@
 	return func(s *Server) { s.onIdleClosed = f }
 }
 
+// WithMetrics registers the server's counters in r.
+func WithMetrics(r metrics.Registry) Option { return func(s *Server) { s.registry = r } }
+
 // New returns a server of h with default limits.
 func New(h http.Handler, log *slog.Logger, opts ...Option) *Server {
-	s := &Server{onIdleClosed: func(time.Duration) {}, connections: map[*conn]struct{}{}}
+	s := &Server{onIdleClosed: func(time.Duration) {}, registry: metrics.NewRegistry(), connections: map[*conn]struct{}{}}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.account = newAccount(h, s.registry, log)
 	// Each conn applies the limits itself. The read header timeout is set because a conn learns from
 	// the deadlines whether a header is being read.
 	s.server = &http.Server{
-		Handler:           h,
+		Handler:           s.account,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    math.MaxInt32,
 		ConnState:         s.connStateChanged,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	s.SetLimits(catkinspindle.TrafficLimits{})
@@ -69,7 +80,10 @@
 func (s *Server) Serve(l net.Listener) error { return s.server.Serve(listener{l, s}) }
 
 // Close closes the listeners and connections at once.
-func (s *Server) Close() error { return s.server.Close() }
+func (s *Server) Close() error {
+	s.closing.Store(true)
+	return s.server.Close()
+}
 
 // SetLimits applies limits to new and open connections. The header of a request that has begun to
 // arrive is not held to lower limits than before.
