State the idle timeout of callers' connections

Callers saw: a request on an idle connection got neither an answer nor a refusal. Cause: the node closes idle connections 2 s after the idle timeout of the configuration, which no answer stated, so callers kept connections for a time of their own, and a request that crossed the close was reset by the kernel and reached no handler and no log.

Each answer now says Keep-Alive: timeout=N, with N the timeout in force; the connection is closed 2 s later, as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,6 +185,7 @@
 	x := &exchange{gateway: g, w: w, arrivedAt: time.Now()}
 	if g.closeConnections.Load() {
 		w.Header().Set("Connection", "close")
+		w.Header().Del("Keep-Alive")
 	}
 	f := x.admit(r)
 	if f == nil {
--- a/httpserver/account.go
+++ b/httpserver/account.go
@@ -37,22 +37,26 @@
 	abortedCounter = "caller-requests-aborted"
 )
 
-// account counts requests and their ends, and logs panics of the handler.
+// account counts requests and their ends, logs panics of the handler and states the idle timeout in
+// each response.
 type account struct {
-	handler               http.Handler
+	handler http.Handler
+	// keepAlive returns the value of the Keep-Alive field.
+	keepAlive             func() string
 	begun, ended, aborted metrics.Counter
 	registry              metrics.Registry
 	log                   *slog.Logger
 }
 
-func newAccount(h http.Handler, registry metrics.Registry, log *slog.Logger) *account {
+func newAccount(h http.Handler, keepAlive func() string, registry metrics.Registry, log *slog.Logger) *account {
 	return &account{
-		handler:  h,
-		begun:    metrics.GetOrRegisterCounter(begunCounter, registry),
-		ended:    metrics.GetOrRegisterCounter(endedCounter, registry),
-		aborted:  metrics.GetOrRegisterCounter(abortedCounter, registry),
-		registry: registry,
-		log:      log,
+		handler:   h,
+		keepAlive: keepAlive,
+		begun:     metrics.GetOrRegisterCounter(begunCounter, registry),
+		ended:     metrics.GetOrRegisterCounter(endedCounter, registry),
+		aborted:   metrics.GetOrRegisterCounter(abortedCounter, registry),
+		registry:  registry,
+		log:       log,
 	}
 }
 
@@ -76,6 +80,8 @@
 		}
 		panic(v)
 	}()
+	w.Header().Set("Connection", "keep-alive")
+	w.Header().Set("Keep-Alive", a.keepAlive())
 	a.handler.ServeHTTP(w, r)
 }
 
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +26,7 @@
 	maxHeaderBytes = 16 << 10
 )
 
-// idleTimeoutMargin is added to the idle timeout that callers expect, so that the server does not
+// idleTimeoutMargin is added to the idle timeout that responses state, so that the server does not
 // close a connection while a request is in transit. It is also the time for which a connection stays
 // open after a lowered idle timeout, which callers may learn of later.
 const idleTimeoutMargin = 2 * time.Second
@@ -61,7 +62,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.account = newAccount(h, s.registry, log)
+	s.account = newAccount(h, s.keepAlive, s.registry, log)
 	// Each conn applies the limits itself. The read header timeout is set because a conn learns from
 	// the deadlines whether a header is being read.
 	s.server = &http.Server{
@@ -112,6 +113,12 @@
 	}
 }
 
+// keepAlive returns the idle timeout in force as the value of a Keep-Alive field, whose unit is a second.
+func (s *Server) keepAlive() string {
+	seconds := int((s.limits.Load().IdleTimeout - idleTimeoutMargin) / time.Second)
+	return "timeout=" + strconv.Itoa(max(1, seconds))
+}
+
 func (s *Server) connStateChanged(nc net.Conn, state http.ConnState) {
 	c := nc.(*conn)
 	switch state {
