Refuse a request that crosses an idle close

Callers that keep idle connections for longer than the server (they ignore Keep-Alive, or the timeout was lowered meanwhile) got a reset for a request that crossed the close. Nobody could tell whether it had run.

The server now announces an idle close, and one for a header that did not arrive in time, with a response 408 (RFC 9110, 15.5.9: not run, may be sent again), closes its writing side and discards what arrives for 500 ms, so that no reset reaches the caller before the refusal. A request that crosses is counted and logged (event 5006).

--- a/httpserver/account.go
+++ b/httpserver/account.go
@@ -35,6 +35,7 @@
 	begunCounter   = "caller-requests-begun"
 	endedCounter   = "caller-requests-ended"
 	abortedCounter = "caller-requests-aborted"
+	refusedCounter = "caller-requests-refused-at-close"
 )
 
 // account counts requests and their ends, logs panics of the handler and states the idle timeout in
@@ -95,3 +96,10 @@
 	a.log.Log(context.Background(), level, "caller's connection closed", events.ConnectionClosed.Attr(), "reason", string(why),
 		"caller", c.RemoteAddr().String(), "since", since, "header-bytes", headerBytes, "requests", requests)
 }
+
+// requestRefused records that n bytes of a request arrived after the refusal with which the server closes
+// a connection.
+func (a *account) requestRefused(c *conn, n int64) {
+	metrics.GetOrRegisterCounter(refusedCounter, a.registry).Inc(1)
+	a.log.Info("request crossed the close of its connection", events.RequestCrossedClose.Attr(), "caller", c.RemoteAddr().String(), "bytes", n)
+}
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -18,9 +18,13 @@
 	// lastReadTimeout is the timeout of the read that follows a deadline, so that a request is served
 	// that has arrived by then.
 	lastReadTimeout = time.Millisecond
-	// resetDelay is the time between the rejection of a header and the close of the connection, whose
-	// reset could reach the caller before it has read the rejection. It is that of net/http.
+	// resetDelay is the time between a refusal and the close of the connection, whose reset could reach
+	// the caller before it has read the refusal. It is that of net/http.
 	resetDelay = 500 * time.Millisecond
+	// maxDiscardedBytes bounds the bytes that are read after a refusal.
+	maxDiscardedBytes = 256 << 10
+	// timeoutRefusal is the response of RFC 9110, section 15.5.9, to a caller whose connection is closed.
+	timeoutRefusal = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 var errHeaderTooLarge = errors.New("request header too large")
@@ -75,7 +79,13 @@
 		if err != nil && !expired {
 			c.closeFor(reasonCaller)
 		}
-		if n > 0 || !expired || !c.mayReadAgain() {
+		if n > 0 || !expired {
+			return n, err
+		}
+		if again, refuse := c.mayReadAgain(); !again {
+			if refuse {
+				c.refuseLate()
+			}
 			return n, err
 		}
 	}
@@ -119,28 +129,43 @@
 	c.headerBytes += n
 }
 
-// mayReadAgain is called when a read has exceeded its deadline. It returns false if the connection
-// is to be closed.
-func (c *conn) mayReadAgain() bool {
+// mayReadAgain is called when a read has exceeded its deadline. If it returns refuse, what arrives from
+// now on must not be served and the connection is to be closed.
+func (c *conn) mayReadAgain() (again, refuse bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseRequest {
-		return false
+		return false, false
 	}
 	now := time.Now()
 	switch {
 	case now.Before(c.deadline):
-		return true // It has just been postponed.
+		return true, false // It has just been postponed.
 	case !c.pastDeadline:
 		c.pastDeadline = true
-		return c.Conn.SetReadDeadline(now.Add(lastReadTimeout)) == nil
+		return c.Conn.SetReadDeadline(now.Add(lastReadTimeout)) == nil, false
 	}
 	c.reason = reasonHeaderTimeout
 	if c.phase == phaseIdle {
 		c.reason = reasonIdle
 		c.server.onIdleClosed(c.server.limits.Load().IdleTimeout)
 	}
-	return false
+	return false, true
+}
+
+// refuseLate answers a request that the caller may have sent before it learns that the connection is
+// closed: it has not run. Bytes that arrive are discarded for a time, because a close with unread bytes
+// could reset the connection before the caller has read the answer.
+func (c *conn) refuseLate() {
+	_ = c.SetWriteDeadline(time.Now().Add(resetDelay)) // It fails on closed connections only, as the write does.
+	if _, err := io.WriteString(c.Conn, timeoutRefusal); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(resetDelay))
+	n, _ := io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardedBytes)) // The caller closes, or the deadline passes.
+	if n > 0 {
+		c.server.account.requestRefused(c, n)
+	}
 }
 
 // closeFor records why the connection is about to be closed. The first reason counts.
