Refuse requests that cross a planned stop

Callers with idle connections that sent a request while the node stopped got a reset: at the end of the drain all connections were closed at once, and no answer had asked these callers to leave. The stop now refuses and closes idle connections as an idle timeout does, and closes the rest at 0.97 of the grace period at the latest.

--- a/gatewaynode/listeners.go
+++ b/gatewaynode/listeners.go
@@ -107,15 +107,21 @@
 // SetLimits applies limits to the connections of callers.
 func (l *listeners) SetLimits(limits catkinspindle.TrafficLimits) { l.callers.SetLimits(limits) }
 
-// Stop closes all servers, connections and listeners at once. It is called after the
-// drain, in which responses have asked callers to close their connections.
-func (l *listeners) Stop(context.Context) error {
+// Stop refuses what may still arrive from callers until ctx is done, and closes all listeners,
+// connections and servers. It is called after the drain, in which responses have asked callers to close
+// their connections.
+func (l *listeners) Stop(ctx context.Context) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var errs []error
-	for _, s := range l.servers {
-		errs = append(errs, s.Close())
+	errs := make([]error, len(l.servers)+1)
+	var group errgroup.Group
+	for i, s := range l.servers {
+		group.Go(func() error {
+			errs[i] = s.Stop(ctx)
+			return nil
+		})
 	}
+	_ = group.Wait() // No function returns an error.
 	for _, ln := range l.netListeners {
 		// A server has already closed the listener that it serves.
 		if err := ln.Close(); !errors.Is(err, net.ErrClosed) {
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -22,6 +22,8 @@
 	unregisterTimeout = 300 * time.Millisecond
 	// answerTimeout is the time for the failures of requests that the drain has not ended.
 	answerTimeout = 100 * time.Millisecond
+	// closeShare is the end of the phase in which idle connections are closed.
+	closeShare = 0.97
 	// drainPollInterval is the interval at which requests in flight are counted.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -51,7 +53,9 @@
 	n.gateway.EndRequests()
 	n.waitUntil(ctx, time.Now().Add(answerTimeout), func() bool { return n.gateway.InFlight() == 0 })
 	var errs []error
-	errs = append(errs, n.listeners.Stop(ctx), n.gateway.Wait(), n.relays.Wait())
+	closeCtx, cancel := context.WithDeadline(ctx, startedAt.Add(time.Duration(closeShare*float64(grace))))
+	defer cancel()
+	errs = append(errs, n.listeners.Stop(closeCtx), n.gateway.Wait(), n.relays.Wait())
 	n.cancel()
 	if n.isJoined() {
 		errs = append(errs, n.fleet.Stop(ctx), n.coordinator.Stop(ctx), n.transport.Stop(ctx))
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -145,14 +145,27 @@
 		c.pastDeadline = true
 		return c.Conn.SetReadDeadline(now.Add(lastReadTimeout)) == nil, false
 	}
-	c.reason = reasonHeaderTimeout
-	if c.phase == phaseIdle {
+	switch {
+	case c.server.closing.Load():
+		c.reason = reasonStop
+	case c.phase == phaseIdle:
 		c.reason = reasonIdle
 		c.server.onIdleClosed(c.server.limits.Load().IdleTimeout)
+	default:
+		c.reason = reasonHeaderTimeout
 	}
 	return false, true
 }
 
+// expire ends the time that the caller has for its next request.
+func (c *conn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseRequest {
+		c.setDeadline(time.Now())
+	}
+}
+
 // refuseLate answers a request that the caller may have sent before it learns that the connection is
 // closed: it has not run. Bytes that arrive are discarded for a time, because a close with unread bytes
 // could reset the connection before the caller has read the answer.
@@ -256,6 +269,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.since, c.headerBytes = phaseIdle, time.Now(), 0
+	if c.server.closing.Load() {
+		c.setDeadline(c.since)
+		return
+	}
 	c.setDeadline(c.since.Add(c.server.limits.Load().IdleTimeout))
 }
 
--- a/httpserver/keep_alive_test.go
+++ b/httpserver/keep_alive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -192,6 +193,47 @@
 	}
 }
 
+// Requests that are sent on kept connections while the server stops are answered or refused.
+func TestRequestsThatCrossAStopAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p := serve(t, 10*time.Millisecond, catkinspindle.TrafficLimits{})
+		const stopAt = 10 * time.Second
+		var (
+			links, group errgroup.Group
+			mu           sync.Mutex
+			statuses     = map[int]int{}
+		)
+		for n := range reusingCallers {
+			client, server := newLink(&links)
+			p.accepted <- server
+			group.Go(func() error {
+				// The second requests are spread over the time around the stop.
+				idle := stopAt - 8*linkDelay + time.Duration(n)*10*linkDelay/reusingCallers
+				status, err := reuse(client, float64(idle)/float64(ownIdleLimit), ownIdleLimit)
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+				return err
+			})
+		}
+		time.Sleep(stopAt)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := s.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		if err := links.Wait(); err != nil {
+			t.Error(err)
+		}
+		if statuses[http.StatusOK] == 0 || statuses[http.StatusRequestTimeout] == 0 {
+			t.Errorf("responses by status: %v", statuses)
+		}
+	})
+}
+
 // The refusal of a request that arrives after an idle close reaches the caller over TCP.
 func TestRefusalOfALateRequestIsNotReset(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -42,6 +42,8 @@
 
 	mu          sync.Mutex
 	connections map[*conn]struct{}
+	// drained is closed when the last connection has been closed; nil while nobody waits for that.
+	drained chan struct{}
 }
 
 // Option configures a server.
@@ -80,6 +82,33 @@
 // Serve accepts connections from l until the server is closed.
 func (s *Server) Serve(l net.Listener) error { return s.server.Serve(listener{l, s}) }
 
+// Stop refuses what may arrive on idle connections and closes them, until ctx is done, and then all
+// others with the listeners. Callers have no requests in flight by then.
+func (s *Server) Stop(ctx context.Context) error {
+	s.closing.Store(true)
+	for _, c := range s.openConnections() {
+		c.expire()
+	}
+	select {
+	case <-s.noneOpen():
+	case <-ctx.Done():
+	}
+	return s.server.Close()
+}
+
+// noneOpen returns a channel that is closed when no connection is open, once.
+func (s *Server) noneOpen() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drained := make(chan struct{})
+	if len(s.connections) == 0 {
+		close(drained)
+		return drained
+	}
+	s.drained = drained
+	return drained
+}
+
 // Close closes the listeners and connections at once.
 func (s *Server) Close() error {
 	s.closing.Store(true)
@@ -104,15 +133,18 @@
 		return
 	}
 	// A connection that is added later takes the new limits by itself.
-	s.mu.Lock()
-	open := slices.Collect(maps.Keys(s.connections))
-	s.mu.Unlock()
 	now := time.Now()
-	for _, c := range open {
+	for _, c := range s.openConnections() {
 		c.updateDeadline(now)
 	}
 }
 
+func (s *Server) openConnections() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.connections))
+}
+
 // keepAlive returns the idle timeout in force as the value of a Keep-Alive field, whose unit is a second.
 func (s *Server) keepAlive() string {
 	seconds := int((s.limits.Load().IdleTimeout - idleTimeoutMargin) / time.Second)
@@ -132,6 +164,10 @@
 	case http.StateHijacked, http.StateClosed:
 		s.mu.Lock()
 		delete(s.connections, c)
+		if s.drained != nil && len(s.connections) == 0 {
+			close(s.drained)
+			s.drained = nil
+		}
 		s.mu.Unlock()
 	case http.StateActive:
 	}
