--- a/httpserver/account_test.go
+++ b/httpserver/account_test.go
@@ -87,6 +87,7 @@
 					synctest.Wait()
 				}
 				time.Sleep(time.Minute)
+				synctest.Wait()
 				if diff := cmp.Diff(tc.want, counters(registry)); diff != "" {
 					t.Errorf("counters (-want +got):\n%s", diff)
 				}
