Round the spacing of limited requests up

Cause: the time between two requests was cut to whole nanoseconds, so a burst gained up to a nanosecond a request. It is rounded up now.

The new case of TestPacer failed before (3333323 ns instead of 3333334).

--- a/pacing/pacer.go
+++ b/pacing/pacer.go
@@ -1,7 +1,10 @@
 // Package pacing spaces the requests to a rate-limited backend server evenly in time.
 package pacing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // burstWindow is the time whose share of requests may be sent at once. At low rates that is
 // a single request.
@@ -22,7 +25,7 @@
 // may be sent.
 func interval(perSecond float64) (spacing, tolerance time.Duration) {
 	const longest = time.Hour
-	spacing = time.Duration(min(float64(time.Second)/perSecond, float64(longest)))
+	spacing = time.Duration(math.Ceil(min(float64(time.Second)/perSecond, float64(longest))))
 	return spacing, max(0, burstWindow-spacing)
 }
 
--- a/pacing/pacer_test.go
+++ b/pacing/pacer_test.go
@@ -56,7 +56,12 @@
 		"after a start":                 {func(p *pacing.Pacer) { p.StartAt(start, 2) }, 2, 0, 500 * time.Millisecond},
 		"after a rise of the rate":      {func(p *pacing.Pacer) { p.Take(start, 0.01) }, 2, time.Second, 0},
 		"within the burst":              {func(p *pacing.Pacer) { p.Take(start, 100) }, 100, 0, 0},
-		"very low rate":                 {func(p *pacing.Pacer) { p.Take(start, 1e-300) }, 1e-300, 0, time.Hour},
+		"after a burst at a rate whose spacing is no whole number of nanoseconds": {func(p *pacing.Pacer) {
+			for range 30 {
+				p.Take(start, 300)
+			}
+		}, 300, 0, 3333334 * time.Nanosecond},
+		"very low rate": {func(p *pacing.Pacer) { p.Take(start, 1e-300) }, 1e-300, 0, time.Hour},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
