Keep connections that are opened ahead of their first request

A caller that opened a connection and sent its first request more than the header timeout (3 s) later lost it: the timeout began with the connection, not with the header. Such a connection is now idle until its first byte arrives; then the header timeout begins.

TestConnectionOpenedAheadIsKept failed before (closed after 3 s of 15 s).

--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -33,8 +33,10 @@
 type phase int
 
 const (
-	// phaseHeader begins with the connection or with the first byte of a request.
-	phaseHeader phase = iota
+	// phaseNew begins with the connection. It is an idle phase that net/http does not know.
+	phaseNew phase = iota
+	// phaseHeader begins with the first byte of a request.
+	phaseHeader
 	// phaseRequest begins when the header has been read and ends when the request is answered.
 	phaseRequest
 	phaseIdle
@@ -50,7 +52,7 @@
 	phase phase
 	// since is when the phase began.
 	since time.Time
-	// deadline is when the connection is closed in phaseHeader and phaseIdle.
+	// deadline is when the connection is closed in phases other than phaseRequest.
 	deadline time.Time
 	// pastDeadline is true if the deadline has passed and the last read may be under way.
 	pastDeadline bool
@@ -122,7 +124,7 @@
 	switch c.phase {
 	case phaseRequest:
 		return
-	case phaseIdle:
+	case phaseNew, phaseIdle:
 		c.startHeader()
 	case phaseHeader:
 	}
@@ -148,7 +150,7 @@
 	switch {
 	case c.server.closing.Load():
 		c.reason = reasonStop
-	case c.phase == phaseIdle:
+	case c.phase == phaseNew, c.phase == phaseIdle:
 		c.reason = reasonIdle
 		c.server.onIdleClosed(c.server.limits.Load().IdleTimeout)
 	default:
@@ -226,6 +228,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.phase {
+	case phaseNew:
+		return nil
 	case phaseIdle:
 		if !t.IsZero() {
 			c.startHeader()
@@ -252,12 +256,6 @@
 	return w.CloseWrite()
 }
 
-func (c *conn) beginHeader() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.startHeader()
-}
-
 // startHeader begins phaseHeader. The caller holds c.mu.
 func (c *conn) startHeader() {
 	limits := c.server.limits.Load()
@@ -265,10 +263,11 @@
 	c.setDeadline(c.since.Add(limits.HeaderTimeout))
 }
 
-func (c *conn) beginIdle() {
+// beginIdle begins phaseNew or phaseIdle.
+func (c *conn) beginIdle(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.since, c.headerBytes = phaseIdle, time.Now(), 0
+	c.phase, c.since, c.headerBytes, c.maxHeader = p, time.Now(), 0, c.server.limits.Load().MaxHeader
 	if c.server.closing.Load() {
 		c.setDeadline(c.since)
 		return
@@ -293,7 +292,7 @@
 		return
 	case phaseHeader:
 		deadline = later(c.since.Add(limits.HeaderTimeout), c.deadline)
-	case phaseIdle:
+	case phaseNew, phaseIdle:
 		deadline = c.since.Add(limits.IdleTimeout)
 		if margin := now.Add(idleTimeoutMargin); c.deadline.After(margin) {
 			deadline = later(deadline, margin)
--- a/httpserver/keep_alive_test.go
+++ b/httpserver/keep_alive_test.go
@@ -193,6 +193,21 @@
 	}
 }
 
+// A connection that is opened ahead of its first request is kept like an idle one.
+func TestConnectionOpenedAheadIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = 15 * time.Second
+		_, p := serve(t, 0, catkinspindle.TrafficLimits{HeaderTimeout: 3 * time.Second, IdleTimeout: timeout})
+		used, unused := p.connect(), p.connect()
+		began := time.Now()
+		time.Sleep(timeout)
+		used.checkAnswered(t, request)
+		if diff := cmp.Diff(timeout+margin, unused.closedAfter(t, began)); diff != "" {
+			t.Errorf("an unused connection is closed after (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // Requests that are sent on kept connections while the server stops are answered or refused.
 func TestRequestsThatCrossAStopAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -158,9 +158,9 @@
 		s.mu.Lock()
 		s.connections[c] = struct{}{}
 		s.mu.Unlock()
-		c.beginHeader()
+		c.beginIdle(phaseNew)
 	case http.StateIdle:
-		c.beginIdle()
+		c.beginIdle(phaseIdle)
 	case http.StateHijacked, http.StateClosed:
 		s.mu.Lock()
 		delete(s.connections, c)
