Serve callers of the own interface with stated idle timeouts

The own interface had the same fault as the platform's: idle connections were closed after 2 min, which no answer stated, and at a stop at once, so that a request that crossed the close got a reset. It now uses package httpserver, whose Stop closes the listeners first and then waits for requests in flight, as net/http's Shutdown did.

TestIdleConnectionsAreStatedAndRefusedAtAStop fails before (no Keep-Alive).

--- a/callers/server.go
+++ b/callers/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/httpserver"
 	"github.com/catkinspindle/catkinspindle/limits"
 )
 
@@ -36,9 +37,9 @@
 )
 
 const (
-	maxHeaderBytes    = 16 << 10
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
 )
 
 // Server is the HTTP server for callers. It implements catkinspindle.Service.
@@ -52,7 +53,7 @@
 	limits    catkinspindle.Limits
 	metrics   metrics.Registry
 	log       *slog.Logger
-	http      *http.Server
+	http      *httpserver.Server
 	group     *errgroup.Group
 }
 
@@ -87,22 +88,27 @@
 	if err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
-	s.http = &http.Server{
-		Handler:           s.Handler(),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       s.limits.MaxTimeout,
-		IdleTimeout:       idleTimeout,
-	}
+	s.http = httpserver.New(s.withReadTimeout(s.Handler()), s.log, httpserver.WithMetrics(s.metrics))
+	s.http.SetLimits(catkinspindle.TrafficLimits{MaxHeader: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	s.group = &errgroup.Group{}
 	s.group.Go(func() error { return s.http.Serve(listener) })
 	return nil
 }
 
+// withReadTimeout bounds the time in which a request is read.
+func (s *Server) withReadTimeout(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.limits.MaxTimeout)); err != nil {
+			s.log.Debug("read timeout cannot be set", "error", err) // The connection is closed.
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Stop implements catkinspindle.Service. It closes the listener and waits for requests in
 // flight until ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.http.Stop(ctx); err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
 	if err := s.group.Wait(); !errors.Is(err, http.ErrServerClosed) {
--- a/callers/server_test.go
+++ b/callers/server_test.go
@@ -1,12 +1,14 @@
 package callers_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +17,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/callers"
@@ -69,12 +72,13 @@
 
 func (fakeActions) Origin() catkinspindle.ActionOrigin { return catkinspindle.ActionOrigin{} }
 
-func newHandler(r catkinspindle.PromptService) http.Handler {
+func newHandler(r catkinspindle.PromptService) http.Handler { return newServer("", r).Handler() }
+
+func newServer(address string, r catkinspindle.PromptService) *callers.Server {
 	requestLimits := catkinspindle.DefaultLimits()
 	requestLimits.MaxBody = 1000
-	s := callers.New("", snapshot, r, fakeActions{}, limits.New(snapshot, 10), catkinspindle.DefaultTiming(), requestLimits,
+	return callers.New(address, snapshot, r, fakeActions{}, limits.New(snapshot, 10), catkinspindle.DefaultTiming(), requestLimits,
 		metrics.NewRegistry(), slog.New(slog.DiscardHandler))
-	return s.Handler()
 }
 
 const body = `{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true}`
@@ -160,3 +164,56 @@
 		}
 	})
 }
+
+// A caller learns how long an idle connection is kept, and a stop refuses what arrives on it.
+func TestIdleConnectionsAreStatedAndRefusedAtAStop(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s := newServer(address, fakePrompts{})
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const request = "GET /v1/addresses HTTP/1.1\r\nHost: h\r\n\r\n"
+	reader := bufio.NewReader(c)
+	send := func() *http.Response {
+		t.Helper()
+		if _, err := io.WriteString(c, request); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	if diff := cmp.Diff("timeout=120", send().Header.Get("Keep-Alive")); diff != "" {
+		t.Errorf("Keep-Alive (-want +got):\n%s", diff)
+	}
+	var group errgroup.Group
+	group.Go(func() error { return s.Stop(t.Context()) })
+	if _, err := reader.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(http.StatusRequestTimeout, send().StatusCode); diff != "" {
+		t.Errorf("status of a request that crosses the stop (-want +got):\n%s", diff)
+	}
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"math"
@@ -41,6 +42,7 @@
 	closing      atomic.Bool
 
 	mu          sync.Mutex
+	listeners   []*listener
 	connections map[*conn]struct{}
 	// drained is closed when the last connection has been closed; nil while nobody waits for that.
 	drained chan struct{}
@@ -79,13 +81,30 @@
 	return s
 }
 
-// Serve accepts connections from l until the server is closed.
-func (s *Server) Serve(l net.Listener) error { return s.server.Serve(listener{l, s}) }
+// Serve accepts connections from l until the server is stopped or closed, and returns
+// http.ErrServerClosed then.
+func (s *Server) Serve(l net.Listener) error {
+	limited := &listener{Listener: l, server: s}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, limited)
+	s.mu.Unlock()
+	err := s.server.Serve(limited)
+	if s.closing.Load() && errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed
+	}
+	return err
+}
 
-// Stop refuses what may arrive on idle connections and closes them, until ctx is done, and then all
-// others with the listeners. Callers have no requests in flight by then.
+// Stop closes the listeners, refuses what arrives on idle connections and waits until all connections are
+// closed, each after the request in flight on it. When ctx is done it closes the rest.
 func (s *Server) Stop(ctx context.Context) error {
 	s.closing.Store(true)
+	s.mu.Lock()
+	errs := make([]error, 0, len(s.listeners)+1)
+	for _, l := range s.listeners {
+		errs = append(errs, l.Close())
+	}
+	s.mu.Unlock()
 	for _, c := range s.openConnections() {
 		c.expire()
 	}
@@ -93,7 +112,7 @@
 	case <-s.noneOpen():
 	case <-ctx.Done():
 	}
-	return s.server.Close()
+	return errors.Join(append(errs, s.server.Close())...)
 }
 
 // noneOpen returns a channel that is closed when no connection is open, once.
@@ -173,17 +192,24 @@
 	}
 }
 
-// listener returns connections to which the server's limits apply.
+// listener returns connections to which the server's limits apply. Only its first Close has an effect.
 type listener struct {
 	net.Listener
 	server *Server
+	closed sync.Once
 }
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: c, server: l.server}, nil
 }
+
+// Close implements net.Listener.
+func (l *listener) Close() (err error) {
+	l.closed.Do(func() { err = l.Listener.Close() })
+	return err
+}
