Announce the close of a connection in answers during a stop

An answer to a request that was served after the stop had begun stated an idle timeout that the server did not keep. TestAnswerDuringAStopStatesTheClose failed before.

--- a/httpserver/account.go
+++ b/httpserver/account.go
@@ -42,7 +42,7 @@
 // each response.
 type account struct {
 	handler http.Handler
-	// keepAlive returns the value of the Keep-Alive field.
+	// keepAlive returns the value of the Keep-Alive field; empty if the connection is to be closed.
 	keepAlive             func() string
 	begun, ended, aborted metrics.Counter
 	registry              metrics.Registry
@@ -81,8 +81,12 @@
 		}
 		panic(v)
 	}()
-	w.Header().Set("Connection", "keep-alive")
-	w.Header().Set("Keep-Alive", a.keepAlive())
+	if value := a.keepAlive(); value != "" {
+		w.Header().Set("Connection", "keep-alive")
+		w.Header().Set("Keep-Alive", value)
+	} else {
+		w.Header().Set("Connection", "close")
+	}
 	a.handler.ServeHTTP(w, r)
 }
 
--- a/httpserver/keep_alive_test.go
+++ b/httpserver/keep_alive_test.go
@@ -249,6 +249,35 @@
 	})
 }
 
+// A request that is served after a stop has begun gets an answer that says that the connection is closed.
+func TestAnswerDuringAStopStatesTheClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p := serve(t, time.Second, catkinspindle.TrafficLimits{})
+		c := p.connect()
+		if _, err := io.WriteString(c, request+request); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		var group errgroup.Group
+		group.Go(func() error { return s.Stop(t.Context()) })
+		var got []bool
+		for range 2 {
+			resp, err := http.ReadResponse(c.reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, stated := statedTimeout(resp.Header)
+			got = append(got, stated, resp.Close)
+		}
+		if diff := cmp.Diff([]bool{true, false, false, true}, got); diff != "" {
+			t.Errorf("timeout and close that the answers state (-want +got):\n%s", diff)
+		}
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // The refusal of a request that arrives after an idle close reaches the caller over TCP.
 func TestRefusalOfALateRequestIsNotReset(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -165,7 +165,11 @@
 }
 
 // keepAlive returns the idle timeout in force as the value of a Keep-Alive field, whose unit is a second.
+// It is empty while the server stops.
 func (s *Server) keepAlive() string {
+	if s.closing.Load() {
+		return ""
+	}
 	seconds := int((s.limits.Load().IdleTimeout - idleTimeoutMargin) / time.Second)
 	return "timeout=" + strconv.Itoa(max(1, seconds))
 }
