Give nodes time to reach a hub that has just restarted

Trace: a heartbeat that was under way when the hub started arrived before its first tick. The hub then presumed its sender alive for 1.1 s only, as if it had long been receiving, instead of 3 s; but the sender had missed it twice meanwhile and did not use it for 2 s. A hub that has just started now gives all nodes the 3 s.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -930,38 +930,46 @@
 // A restarted hub that the others reach only after 1.5 s, because all connect to it at once,
 // does not declare them dead.
 func TestRestartedHubDeclaresNoNodeDead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		net, nodes := startNodes(t, 8)
-		defer func() { stopNodes(t, nodes) }()
-		time.Sleep(2 * time.Second)
-		if err := nodes[0].Stop(context.Background()); err != nil {
-			t.Fatal(err)
-		}
-		restarted := member(0, 2)
-		n := &node{self: restarted, view: view.New(nil)}
-		n.Fleet = fleet.New(restarted, endpoint{net, restarted.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler),
-			fleet.WithNodeLost(func(f catkinspindle.Node) {
-				n.mu.Lock()
-				defer n.mu.Unlock()
-				n.reportedDead = append(n.reportedDead, f.Name)
-			}))
-		list := []catkinspindle.Node{restarted}
-		for i := 1; i < 8; i++ {
-			list = append(list, member(i, 1))
-		}
-		n.SetRegistered(list)
-		nodes[0] = n
-		net.setDown(restarted.PeerAddress, true)
-		if err := n.Start(context.Background()); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(1500 * time.Millisecond)
-		net.setDown(restarted.PeerAddress, false)
-		time.Sleep(500 * time.Millisecond)
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		if len(n.reportedDead) > 0 {
-			t.Errorf("declared dead: %v", n.reportedDead)
-		}
-	})
+	for name, heard := range map[string]time.Duration{"silent at once": 0, "after heartbeats that came before its start": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { checkRestartedHub(t, heard) }) })
+	}
+}
+
+// checkRestartedHub restarts a hub that receives heartbeats for a time before its start and is then
+// unreachable for 1.5 s.
+func checkRestartedHub(t *testing.T, heard time.Duration) {
+	t.Helper()
+	net, nodes := startNodes(t, 8)
+	defer func() { stopNodes(t, nodes) }()
+	time.Sleep(2 * time.Second)
+	if err := nodes[0].Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	restarted := member(0, 2)
+	n := &node{self: restarted, view: view.New(nil)}
+	n.Fleet = fleet.New(restarted, endpoint{net, restarted.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler),
+		fleet.WithNodeLost(func(f catkinspindle.Node) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.reportedDead = append(n.reportedDead, f.Name)
+		}))
+	list := []catkinspindle.Node{restarted}
+	for i := 1; i < 8; i++ {
+		list = append(list, member(i, 1))
+	}
+	n.SetRegistered(list)
+	nodes[0] = n
+	time.Sleep(heard)
+	net.setDown(restarted.PeerAddress, true)
+	if err := n.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	net.setDown(restarted.PeerAddress, false)
+	time.Sleep(500 * time.Millisecond)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.reportedDead) > 0 {
+		t.Errorf("declared dead: %v", n.reportedDead)
+	}
 }
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -272,13 +272,13 @@
 
 // presumeAlive treats the nodes in the previous coordinator's list, or all known nodes if
 // there is none, as alive until they have had time to send a heartbeat to this node:
-// firstHeartbeatTimeout for those that never did, since hundreds connect to a node that has
-// just started.
+// firstHeartbeatTimeout for those that never did and while this node has just started, since
+// hundreds connect to it then.
 func (f *Fleet) presumeAlive(now time.Time) {
 	f.receivingSince = now
 	for _, n := range f.members {
 		limit := livenessTimeout
-		if n.lastHeartbeat.IsZero() {
+		if n.lastHeartbeat.IsZero() || now.Sub(f.started) < firstHeartbeatTimeout {
 			limit = firstHeartbeatTimeout
 		}
 		wasLive := len(f.live.nodes) == 0 || slices.ContainsFunc(f.live.nodes, func(l catkinspindle.Node) bool { return l.Name == n.Name })
