Never serve a request that was refused

A refused connection now fails every further read, and changed limits and a stop no longer touch the deadline of the lingering read (a raised idle timeout kept refused connections open for it, a stop ended them at once).

--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -64,12 +64,18 @@
 	requests int
 	reason   reason
 	closed   bool
+	// refused is true once nothing that arrives may be served any more.
+	refused bool
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		left := c.headerBytesLeft()
+		left, refused := c.headerBytesLeft()
+		if refused {
+			// net/http reads again if it has a part of a line.
+			return 0, net.ErrClosed
+		}
 		if left <= 0 {
 			return 0, c.rejectHeader()
 		}
@@ -93,14 +99,14 @@
 	}
 }
 
-// headerBytesLeft returns how much may still be read of the header.
-func (c *conn) headerBytesLeft() int {
+// headerBytesLeft returns how much may still be read of the header, and whether its request was refused.
+func (c *conn) headerBytesLeft() (left int, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseRequest {
-		return math.MaxInt
+		return math.MaxInt, false
 	}
-	return max(c.maxHeader, c.server.limits.Load().MaxHeader) + readAheadBytes - c.headerBytes
+	return max(c.maxHeader, c.server.limits.Load().MaxHeader) + readAheadBytes - c.headerBytes, c.refused
 }
 
 // rejectHeader answers a request whose header exceeds the limit and closes the connection, because
@@ -156,6 +162,7 @@
 	default:
 		c.reason = reasonHeaderTimeout
 	}
+	c.refused = true
 	return false, true
 }
 
@@ -163,7 +170,7 @@
 func (c *conn) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseRequest {
+	if c.phase != phaseRequest && !c.refused {
 		c.setDeadline(time.Now())
 	}
 }
@@ -227,6 +234,9 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refused {
+		return nil
+	}
 	switch c.phase {
 	case phaseNew:
 		return nil
@@ -285,6 +295,9 @@
 func (c *conn) updateDeadline(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refused {
+		return
+	}
 	limits := c.server.limits.Load()
 	var deadline time.Time
 	switch c.phase {
--- a/httpserver/keep_alive_test.go
+++ b/httpserver/keep_alive_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -278,6 +279,80 @@
 	})
 }
 
+// A request whose header was refused because it came too slowly does not run, whatever arrives later and
+// whatever changes while the refusal lingers.
+func TestRefusedRequestNeverRuns(t *testing.T) {
+	stop := func(s *httpserver.Server) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		_ = s.Stop(ctx) // The test's own close returns the error.
+	}
+	raise := func(s *httpserver.Server) { s.SetLimits(catkinspindle.TrafficLimits{HeaderTimeout: time.Minute}) }
+	tests := map[string]struct {
+		runs      int
+		meanwhile func(s *httpserver.Server)
+		rest      string
+	}{
+		"the rest of the header":       {1, func(*httpserver.Server) {}, "1\r\n\r\n"},
+		"more than is discarded":       {1, func(*httpserver.Server) {}, strings.Repeat("x", 256<<10) + "\r\n\r\n"},
+		"the header timeout is raised": {1, raise, strings.Repeat("x", 256<<10) + "\r\n\r\n"},
+		"the server stops":             {20, stop, "1\r\n\r\n"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for range tc.runs {
+				if ran := sendAfterRefusal(t, tc.meanwhile, tc.rest); ran > 0 {
+					t.Fatal("a refused request has run")
+				}
+			}
+		})
+	}
+}
+
+// sendAfterRefusal has a request refused whose header stalls, sends the rest while meanwhile runs, and
+// returns how many requests were served.
+func sendAfterRefusal(t *testing.T, meanwhile func(*httpserver.Server), rest string) int64 {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ran atomic.Int64
+	s := httpserver.New(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }), slog.New(slog.DiscardHandler))
+	s.SetLimits(catkinspindle.TrafficLimits{HeaderTimeout: 20 * time.Millisecond})
+	var group errgroup.Group
+	group.Go(func() error { return s.Serve(listener) })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nA: "); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	if resp, err := http.ReadResponse(reader, nil); err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Fatalf("response %v, error %v", resp, err)
+	}
+	group.Go(func() error {
+		meanwhile(s)
+		return http.ErrServerClosed
+	})
+	_, _ = io.WriteString(conn, rest) // The server may have closed the connection.
+	time.Sleep(5 * time.Millisecond)
+	_, _ = io.WriteString(conn, rest)
+	time.Sleep(5 * time.Millisecond)
+	_ = conn.Close() // It may have been reset.
+	_ = s.Close()    // It may have been stopped.
+	if err := group.Wait(); !errors.Is(err, http.ErrServerClosed) {
+		t.Error(err)
+	}
+	return ran.Load()
+}
+
 // The refusal of a request that arrives after an idle close reaches the caller over TCP.
 func TestRefusalOfALateRequestIsNotReset(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
