Answer requests whose handler panics

Callers of a request in which a panic happened got a closed connection without an answer, and no line 5003 was logged. A panic of a standby or of a probe in the background, which run outside of net/http's goroutine, ended the process and with it all requests of the node.

The panic now ends in the attempt where it happened: the attempt is closed, its memory released and its placement reported as given up, and the request fails with the reason internal: as not run if nothing was being sent, 502 otherwise, a cut stream once the response has begun. While a request is being sent its verdict is unknown, so sending marks the exchange. A standby that panics leaves the running attempt alone. A background report whose probe panics says nothing about the replica.

Left: a probe after a cooldown stays taken if a panic falls between beginAttempt and send (attempt.go, prepare).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -102,6 +102,8 @@
 	lastEventAt     time.Time
 	// broken is set while an attempt ends whose connection broke.
 	broken *brokenAttempt
+	// sending is true while the request is being sent, so that its verdict is not known yet.
+	sending bool
 	// attemptCount counts attempts; it makes the IDs of their reservations unique.
 	attemptCount int
 }
@@ -217,14 +219,23 @@
 // true when the caller has its answer; if done is false and f is nil, another attempt follows.
 func (x *exchange) attempt(ctx context.Context, p catkinspindle.Placement) (done bool, f *catkinspindle.Failure) {
 	a := newAttempt(ctx, p)
-	defer func() { x.end(a) }()
+	defer func() {
+		if v := recover(); v != nil {
+			failure := x.endRecovered(a, v)
+			if !done {
+				f = failure
+			}
+			return
+		}
+		x.end(a)
+	}()
 	helpers, probe, ok, f := x.prepare(a)
 	if !ok {
 		return false, f
 	}
 	t := x.watch(ctx, a)
 	defer func() { x.settle(t, true, 0) }()
-	answered := x.send(a, helpers, probe)
+	answered := x.trySend(a, helpers, probe)
 	for {
 		if answered {
 			done, f = x.forward(a, t)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,11 +187,7 @@
 		w.Header().Set("Connection", "close")
 		w.Header().Del("Keep-Alive")
 	}
-	f := x.admit(r)
-	if f == nil {
-		f = x.serve(r.Context())
-	}
-	x.finish(r, f)
+	x.finish(r, x.run(r))
 }
 
 // admit resolves the route, the workspace and the deadline of the request and reads its body.
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -140,22 +140,26 @@
 	}
 	timer := time.NewTimer(p.Delay)
 	defer timer.Stop()
-	var f *catkinspindle.Failure
-	for f == nil {
+	elapsed := false
+	defer func() {
+		if !elapsed {
+			x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+		}
+	}()
+	for {
 		changed := x.gateway.quarantine.Changed()
-		if f = x.heldFailure(); f != nil {
-			break
+		if f := x.heldFailure(); f != nil {
+			return f
 		}
 		select {
 		case <-timer.C:
+			elapsed = true
 			return nil
 		case <-changed:
 		case <-ctx.Done():
-			f = x.contextFailure(ctx)
+			return x.contextFailure(ctx)
 		}
 	}
-	x.gateway.placer.ReportResult(catkinspindle.AttemptResult{JobID: p.JobID, Replica: p.Replica, Outcome: catkinspindle.OutcomeGivenUp})
-	return f
 }
 
 func (x *exchange) refusal(p catkinspindle.Placement) *catkinspindle.Failure {
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -98,14 +98,12 @@
 		x.reportRefusal(result)
 		return
 	}
-	g.group.Go(func() error {
+	g.reportLater(result, func(result *catkinspindle.AttemptResult) {
 		p := g.probe(b.replica)
 		result.Outcome = p.outcome
-		g.placer.ReportResult(result)
 		if b.mayHaveCrashed {
 			x.recordCrash(b.at, b.replica, p)
 		}
-		return nil
 	})
 }
 
@@ -118,12 +116,10 @@
 		g.placer.ReportResult(result)
 		return
 	}
-	g.group.Go(func() error {
+	g.reportLater(result, func(result *catkinspindle.AttemptResult) {
 		if g.probe(helper).outcome == catkinspindle.OutcomeFailed {
-			result = failedHelper(result, helper)
+			*result = failedHelper(*result, helper)
 		}
-		g.placer.ReportResult(result)
-		return nil
 	})
 }
 
@@ -150,14 +146,12 @@
 		g.placer.ReportResult(result)
 		return
 	}
-	g.group.Go(func() error {
+	g.reportLater(result, func(result *catkinspindle.AttemptResult) {
 		switch g.probe(helper).outcome {
 		case catkinspindle.OutcomeNoPath:
 			result.Outcome, result.FaultyReplica = catkinspindle.OutcomeNoPath, ""
 		case catkinspindle.OutcomeFailed:
-			result = failedHelper(result, helper)
+			*result = failedHelper(*result, helper)
 		}
-		g.placer.ReportResult(result)
-		return nil
 	})
 }
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -96,6 +96,15 @@
 		return
 	}
 	defer close(done)
+	defer func() {
+		if v := recover(); v != nil {
+			_ = t.exchange.recovered(v) // The running attempt goes on.
+			cancel(nil)
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.done = nil
+		}
+	}()
 	a, retryAfter := t.runStandby(ctx)
 	if t.accept(ctx, a) {
 		return
@@ -291,14 +300,30 @@
 	if x.waitDelay(ctx, p) != nil {
 		return nil, standbyInterval
 	}
+	return t.attempt(ctx, p)
+}
+
+// attempt sends the request to the replica of p. It returns the same as runStandby.
+func (t *takeover) attempt(ctx context.Context, p catkinspindle.Placement) (proven *attempt, retryAfter time.Duration) {
+	x := t.exchange
 	a := newAttempt(ctx, p)
+	var next *takeover
+	defer func() {
+		if v := recover(); v != nil {
+			if next != nil {
+				x.settle(next, true, 0)
+			}
+			_ = x.endRecovered(a, v) // The running attempt goes on.
+			proven, retryAfter = nil, 0
+		}
+	}()
 	helpers, probe, ok, _ := x.prepare(a)
 	if !ok {
 		x.end(a)
 		return nil, standbyRetry
 	}
-	next := x.watch(ctx, a)
-	if x.send(a, helpers, probe) && x.prove(a) && next.commit() {
+	next = x.watch(ctx, a)
+	if x.trySend(a, helpers, probe) && x.prove(a) && next.commit() {
 		x.settle(next, true, 0)
 		if t.awaitRunning(ctx, a) {
 			return a, 0
