End requests whose body does not arrive in time

A caller whose body stalled got neither an answer nor a line: the gateway read the body without a time limit, so neither the caller's timeout nor the end of all requests in a planned stop ended the request. In a stop its connection was closed under it.

The body is now read until the caller's or the route's timeout and until EndRequests. The failure, as not run, is sent with the read deadline still passed, because net/http otherwise waits for the rest of the body before it sends the response.

Three new cases of TestEveryKindOfEndIsCountedLoggedAndAnswered failed before: no answer and the reason bad-request once the caller had left.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -229,9 +230,10 @@
 			x.priority = *workspace.Priority
 		}
 	}
-	body, err := g.readBody(x.w, r, state.Table.Routing().Limits.MaxBody)
+	bodyEnd := x.arrivedAt.Add(shorterTimeout(route.Timeout, g.codec.Timeout(r)))
+	body, err := g.readBodyUntil(bodyEnd, x.w, r, state.Table.Routing().Limits.MaxBody)
 	if err != nil {
-		return bodyFailure(err)
+		return g.bodyFailure(err)
 	}
 	x.bodyBytes = int64(len(body))
 	x.envelope, err = g.codec.Request(r, body)
@@ -241,11 +243,7 @@
 	x.keys = x.requestKeys()
 	x.service = routes.Target(route, rand.Float64())
 	x.replicas = state.Replicas
-	timeout := route.Timeout
-	if t := x.envelope.Timeout; t > 0 && (timeout <= 0 || t < timeout) {
-		timeout = t
-	}
-	x.deadline = x.arrivedAt.Add(timeout)
+	x.deadline = x.arrivedAt.Add(shorterTimeout(route.Timeout, x.envelope.Timeout))
 	x.alreadyWaited = g.initialTimeouts.alreadyWaited(route.Name, x.envelope.Timeout)
 	return nil
 }
@@ -274,6 +272,38 @@
 
 var errBodyMemory = errors.New("memory for request bodies is used up")
 
+// shorterTimeout returns the shorter one of a route's and a caller's timeout that are positive.
+func shorterTimeout(route, caller time.Duration) time.Duration {
+	if caller > 0 && (route <= 0 || caller < route) {
+		return caller
+	}
+	return route
+}
+
+// readBodyUntil is readBody until a time or the end of all requests.
+func (g *Gateway) readBodyUntil(end time.Time, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	// It fails on closed connections only, as the read does.
+	setDeadline := func(t time.Time) { _ = http.NewResponseController(w).SetReadDeadline(t) }
+	setDeadline(end)
+	aborted := make(chan struct{})
+	stop := context.AfterFunc(g.ended, func() {
+		defer close(aborted)
+		setDeadline(time.Now())
+	})
+	body, err := g.readBody(w, r, limit)
+	if !stop() {
+		<-aborted
+	}
+	if err == nil {
+		// Otherwise net/http would wait for the rest of the body before it sends the failure.
+		setDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // readBody reads a body of at most limit bytes; a limit of zero means no limit.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
@@ -306,9 +336,13 @@
 	return body, nil
 }
 
-func bodyFailure(err error) *catkinspindle.Failure {
+func (g *Gateway) bodyFailure(err error) *catkinspindle.Failure {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.ended.Err() != nil:
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "the node stopped before the request body was complete").WithRetryAfter(stoppingRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonDeadline, "deadline exceeded before the request body was complete")
 	case errors.As(err, &tooLarge):
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonTooLarge, "read request body: %w", err)
 	case errors.Is(err, errBodyMemory):
