Send refusals without waiting for the rest of a body

A caller that was refused before its body had been read (unknown route, missing key, body too large, stopping node) got no answer until it had sent the rest, although the line said 503, 404 or 413: net/http reads on before it sends the response.

The rest may now arrive for 200 ms, so that callers in the middle of a body may keep their connection; then the refusal is sent.

Two new cases (a 404 and a 413 beside a stalled body) failed before: no answer within a second, none before the caller left.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,6 +51,8 @@
 	envelope      catkinspindle.Envelope
 	replicas      map[string]catkinspindle.Replica
 	bodyBytes     int64
+	// bodyRead is true once the whole body has been read.
+	bodyRead bool
 	// keys are the keys under which crashes of replicas are recorded. isTrial is true if the
 	// request may be sent once although one of them is held.
 	keys    []catkinspindle.RequestKey
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 	// stoppingRetryAfter is the Retry-After of a node that is shutting down or has no memory
 	// left for request bodies.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// unreadBodyTimeout bounds how long net/http waits for the body of a refused request before it
+	// sends the refusal. A caller that has sent the body by then may keep its connection.
+	unreadBodyTimeout = 200 * time.Millisecond
 	// readChunk is the buffer size in bytes that is assumed for a request body of unknown
 	// length, and the number of bytes that are drained from a refusal.
 	readChunk = 4 << 10
@@ -235,7 +238,7 @@
 	if err != nil {
 		return g.bodyFailure(err)
 	}
-	x.bodyBytes = int64(len(body))
+	x.bodyRead, x.bodyBytes = true, int64(len(body))
 	x.envelope, err = g.codec.Request(r, body)
 	if err != nil {
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "%w", err)
@@ -340,9 +343,9 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && g.ended.Err() != nil:
-		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "the node stopped before the request body was complete").WithRetryAfter(stoppingRetryAfter)
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "the node stopped: read request body: %w", err).WithRetryAfter(stoppingRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonDeadline, "deadline exceeded before the request body was complete")
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonDeadline, "read request body: %w", err)
 	case errors.As(err, &tooLarge):
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonTooLarge, "read request body: %w", err)
 	case errors.Is(err, errBodyMemory):
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,6 +20,9 @@
 	total := time.Since(x.arrivedAt)
 	abort := f != nil && (x.responseBegun || f.Reason == reasonCallerGone)
 	if f != nil && !abort {
+		if r.ContentLength != 0 && !x.bodyRead && !errors.Is(f, os.ErrDeadlineExceeded) {
+			_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // It fails on closed connections only.
+		}
 		x.status = writeFailure(x.w, f)
 	}
 	x.updateMetrics(f, total)
