Answer requests of the own interface whose handler panics

Callers of the own interface got a closed connection when a handler panicked, and no line 5002 was logged. A panic while a stream was opened also kept the request's admission for good.

The handler of each endpoint now recovers: the caller gets 502 with the verdict may-have-run and the reason internal, or a cut response if that has begun, and the lines 5005 and 5002 are logged. The admission is released unless the stream has been opened; then its encoder does that.

--- a/callers/chat.go
+++ b/callers/chat.go
@@ -110,11 +110,17 @@
 	if err != nil {
 		return nil, err
 	}
+	opened := false
+	defer func() {
+		if !opened {
+			release()
+		}
+	}()
 	stream, err := s.prompts.Open(ctx, req.request)
 	if err != nil {
-		release()
 		return nil, err
 	}
+	opened = true
 	return chatResponse{request: req, stream: stream, release: release}, nil
 }
 
--- a/callers/failure.go
+++ b/callers/failure.go
@@ -47,6 +47,7 @@
 	catkinspindle.ReasonBackendFailed:  http.StatusBadGateway,
 	catkinspindle.ReasonOriginGone:     http.StatusBadGateway,
 	catkinspindle.ReasonConflict:       http.StatusConflict,
+	reasonInternal:                     http.StatusBadGateway,
 }
 
 func writeFailure(w http.ResponseWriter, f *catkinspindle.Failure) {
--- a/callers/server.go
+++ b/callers/server.go
@@ -130,7 +130,7 @@
 // and readiness.
 func (s *Server) newHandler(name string, e endpoint.Endpoint, dec kithttp.DecodeRequestFunc, enc kithttp.EncodeResponseFunc) http.Handler {
 	e = endpoint.Chain(s.withMetrics(name), s.requireReady)(e)
-	return kithttp.NewServer(e, dec, enc, kithttp.ServerErrorEncoder(s.encodeError))
+	return s.recoverPanics(name, kithttp.NewServer(e, dec, enc, kithttp.ServerErrorEncoder(s.encodeError)))
 }
 
 // requireReady rejects requests until the node has a fleet configuration.
