Accept waiting connections before a stopping listener closes

Callers whose connection waited to be accepted when the server stopped got a reset, before or after they had sent a request: the kernel resets the backlog of a listener that is closed.

Stop now lets Accept take what waits without blocking, and closes the listener when nothing is left. Such connections are served or refused like idle ones. Listeners without a socket are closed at once as before.

TestStopAnswersConnectionsThatWaitToBeAccepted (TCP) failed before with resets.

--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -84,7 +85,7 @@
 // Serve accepts connections from l until the server is stopped or closed, and returns
 // http.ErrServerClosed then.
 func (s *Server) Serve(l net.Listener) error {
-	limited := &listener{Listener: l, server: s}
+	limited := &listener{Listener: l, server: s, done: make(chan struct{})}
 	s.mu.Lock()
 	s.listeners = append(s.listeners, limited)
 	s.mu.Unlock()
@@ -95,16 +96,24 @@
 	return err
 }
 
-// Stop closes the listeners, refuses what arrives on idle connections and waits until all connections are
-// closed, each after the request in flight on it. When ctx is done it closes the rest.
+// Stop accepts the connections that wait and closes the listeners, refuses what arrives on idle connections
+// and waits until all connections are closed, each after the request in flight on it. When ctx is done it
+// closes the rest.
 func (s *Server) Stop(ctx context.Context) error {
 	s.closing.Store(true)
 	s.mu.Lock()
-	errs := make([]error, 0, len(s.listeners)+1)
-	for _, l := range s.listeners {
-		errs = append(errs, l.Close())
-	}
+	listeners := slices.Clone(s.listeners)
 	s.mu.Unlock()
+	errs := make([]error, 0, len(listeners)+1)
+	for _, l := range listeners {
+		errs = append(errs, l.closeWhenEmpty())
+	}
+	for _, l := range listeners {
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+		}
+	}
 	for _, c := range s.openConnections() {
 		c.expire()
 	}
@@ -197,19 +206,38 @@
 	net.Listener
 	server *Server
 	closed sync.Once
+	// done is closed when the listener has been closed.
+	done chan struct{}
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.server.closing.Load() {
+		if c, err = acceptWaiting(l.Listener); err != nil {
+			err = errors.Join(l.Close(), net.ErrClosed)
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: c, server: l.server}, nil
 }
 
+// closeWhenEmpty makes Accept close the listener once no connection waits to be accepted: the kernel resets
+// those that wait at a close.
+func (l *listener) closeWhenEmpty() error {
+	if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok && d.SetDeadline(time.Now()) == nil {
+		return nil
+	}
+	return l.Close()
+}
+
 // Close implements net.Listener.
 func (l *listener) Close() (err error) {
-	l.closed.Do(func() { err = l.Listener.Close() })
+	l.closed.Do(func() {
+		err = l.Listener.Close()
+		close(l.done)
+	})
 	return err
 }
