--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -47,6 +48,9 @@
 	// stoppingRetryAfter is the Retry-After of a node that is shutting down or has no memory
 	// left for request bodies.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// unreadBodyTimeout bounds how long net/http waits for the body of a refused request before it
+	// sends the refusal. A caller that has sent the body by then may keep its connection.
+	unreadBodyTimeout = 200 * time.Millisecond
 	// readChunk is the buffer size in bytes that is assumed for a request body of unknown
 	// length, and the number of bytes that are drained from a refusal.
 	readChunk = 4 << 10
@@ -187,11 +191,7 @@
 		w.Header().Set("Connection", "close")
 		w.Header().Del("Keep-Alive")
 	}
-	f := x.admit(r)
-	if f == nil {
-		f = x.serve(r.Context())
-	}
-	x.finish(r, f)
+	x.finish(r, x.run(r))
 }
 
 // admit resolves the route, the workspace and the deadline of the request and reads its body.
@@ -233,11 +233,12 @@
 			x.priority = *workspace.Priority
 		}
 	}
-	body, err := g.readBody(x.w, r, state.Table.Routing().Limits.MaxBody)
+	bodyEnd := x.arrivedAt.Add(shorterTimeout(route.Timeout, g.codec.Timeout(r)))
+	body, err := g.readBodyUntil(bodyEnd, x.w, r, state.Table.Routing().Limits.MaxBody)
 	if err != nil {
-		return bodyFailure(err)
+		return g.bodyFailure(err)
 	}
-	x.bodyBytes = int64(len(body))
+	x.bodyRead, x.bodyBytes = true, int64(len(body))
 	x.envelope, err = g.codec.Request(r, body)
 	if err != nil {
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "%w", err)
@@ -245,11 +246,7 @@
 	x.keys = x.requestKeys()
 	x.service = routes.Target(route, rand.Float64())
 	x.replicas = state.Replicas
-	timeout := route.Timeout
-	if t := x.envelope.Timeout; t > 0 && (timeout <= 0 || t < timeout) {
-		timeout = t
-	}
-	x.deadline = x.arrivedAt.Add(timeout)
+	x.deadline = x.arrivedAt.Add(shorterTimeout(route.Timeout, x.envelope.Timeout))
 	x.alreadyWaited = g.initialTimeouts.alreadyWaited(route.Name, x.envelope.Timeout)
 	return nil
 }
@@ -278,6 +275,38 @@
 
 var errBodyMemory = errors.New("memory for request bodies is used up")
 
+// shorterTimeout returns the shorter one of a route's and a caller's timeout that are positive.
+func shorterTimeout(route, caller time.Duration) time.Duration {
+	if caller > 0 && (route <= 0 || caller < route) {
+		return caller
+	}
+	return route
+}
+
+// readBodyUntil is readBody until a time or the end of all requests.
+func (g *Gateway) readBodyUntil(end time.Time, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	// It fails on closed connections only, as the read does.
+	setDeadline := func(t time.Time) { _ = http.NewResponseController(w).SetReadDeadline(t) }
+	setDeadline(end)
+	aborted := make(chan struct{})
+	stop := context.AfterFunc(g.ended, func() {
+		defer close(aborted)
+		setDeadline(time.Now())
+	})
+	body, err := g.readBody(w, r, limit)
+	if !stop() {
+		<-aborted
+	}
+	if err == nil {
+		// Otherwise net/http would wait for the rest of the body before it sends the failure.
+		setDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // readBody reads a body of at most limit bytes; a limit of zero means no limit.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
@@ -310,9 +339,13 @@
 	return body, nil
 }
 
-func bodyFailure(err error) *catkinspindle.Failure {
+func (g *Gateway) bodyFailure(err error) *catkinspindle.Failure {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.ended.Err() != nil:
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "the node stopped: read request body: %w", err).WithRetryAfter(stoppingRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonDeadline, "read request body: %w", err)
 	case errors.As(err, &tooLarge):
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonTooLarge, "read request body: %w", err)
 	case errors.Is(err, errBodyMemory):
