--- a/callers/server.go
+++ b/callers/server.go
@@ -95,9 +95,14 @@
 	return nil
 }
 
-// withReadTimeout bounds the time in which a request is read.
+// withReadTimeout bounds the time in which a body is read. A deadline on a request without a body would
+// end its context and those of all later requests of the connection.
 func (s *Server) withReadTimeout(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == http.NoBody {
+			h.ServeHTTP(w, r)
+			return
+		}
 		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.limits.MaxTimeout)); err != nil {
 			s.log.Debug("read timeout cannot be set", "error", err) // The connection is closed.
 		}
--- a/callers/server_test.go
+++ b/callers/server_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -75,9 +76,14 @@
 func newHandler(r catkinspindle.PromptService) http.Handler { return newServer("", r).Handler() }
 
 func newServer(address string, r catkinspindle.PromptService) *callers.Server {
+	return newServerWithActions(address, r, fakeActions{}, catkinspindle.DefaultLimits().MaxTimeout)
+}
+
+func newServerWithActions(address string, r catkinspindle.PromptService, a catkinspindle.Actions, maxTimeout time.Duration) *callers.Server {
 	requestLimits := catkinspindle.DefaultLimits()
 	requestLimits.MaxBody = 1000
-	return callers.New(address, snapshot, r, fakeActions{}, limits.New(snapshot, 10), catkinspindle.DefaultTiming(), requestLimits,
+	requestLimits.MaxTimeout = maxTimeout
+	return callers.New(address, snapshot, r, a, limits.New(snapshot, 10), catkinspindle.DefaultTiming(), requestLimits,
 		metrics.NewRegistry(), slog.New(slog.DiscardHandler))
 }
 
@@ -217,3 +223,56 @@
 		t.Error(err)
 	}
 }
+
+// slowActions answers a call after a time and records whether its context was cancelled before.
+type slowActions struct {
+	fakeActions
+	cancelled []bool
+}
+
+func (a *slowActions) Call(ctx context.Context, _ catkinspindle.Action) (catkinspindle.PlainReply, error) {
+	time.Sleep(100 * time.Millisecond)
+	a.cancelled = append(a.cancelled, errors.Is(ctx.Err(), context.Canceled))
+	return catkinspindle.PlainReply{Status: http.StatusOK}, nil
+}
+
+// A request without a body that lasts as long as a body may take to arrive is not cancelled, nor is the
+// next one on its connection.
+func TestReadTimeoutCancelsNoRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	actions := &slowActions{}
+	s := newServerWithActions(address, fakePrompts{}, actions, 50*time.Millisecond)
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	transport := &http.Transport{}
+	for range 2 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/v1/services/s/m", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set(callers.TimeoutHeader, "50ms")
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	transport.CloseIdleConnections()
+	if err := s.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff([]bool{false, false}, actions.cancelled); diff != "" {
+		t.Errorf("calls that were cancelled (-want +got):\n%s", diff)
+	}
+}
