Add a failing test of connections made at a planned stop

Cause: Stop closes the listeners while connections wait in the kernel's queue; the kernel resets these. Nothing read the request and no replica received it, so a caller may repeat it, but the node could have refused it.

--- a/proofs/kept_connections_test.go
+++ b/proofs/kept_connections_test.go
@@ -96,6 +96,31 @@
 	runKept(t, programs, slices.Repeat([]string{programs}, keptNodes), nil)
 }
 
+// Guards against connections that a node has not yet accepted when it closes its listener: the kernel
+// resets them.
+func TestConnectionsMadeAtAPlannedStopAreAccepted(t *testing.T) {
+	programs := *keptPrograms
+	if programs == "" {
+		programs = buildSitePrograms(t)
+	}
+	runKeptSeeds(t, programs, slices.Repeat([]string{programs}, keptNodes), nil, func(r *keptRun) {
+		r.halting = true
+		r.play(newCallers, func() {
+			for range keptStops {
+				r.begin("planned stop")
+				r.pause(keptPeriod)
+			}
+		})
+		lost, unaccepted := r.check()
+		if diff := cmp.Diff(map[string]int{}, lost); diff != "" {
+			r.t.Errorf("requests without an answer or a refusal by kind of caller (-want +got):\n%s", diff)
+		}
+		if unaccepted > 0 {
+			r.t.Errorf("%d connections were reset before they were accepted", unaccepted)
+		}
+	})
+}
+
 // Guards against requests that nodes lose while callers move between them and older nodes. The
 // requests that older nodes lose are counted only.
 func TestRequestsOnKeptConnectionsBesideOlderNodes(t *testing.T) {
