Announce the close in answers to requests in flight at a stop

Whether an answer asks its caller to close the connection was decided when the request arrived. Callers with a request in flight when the stop began kept their connections and came back to the leaving node until it closed them. It is now decided when the head of the answer is written.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -120,6 +120,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
+	x.gateway.announceClose(h)
 }
 
 // forwardEvents forwards complete events as they arrive.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,11 +187,16 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := &exchange{gateway: g, w: w, arrivedAt: time.Now()}
+	g.announceClose(w.Header())
+	x.finish(r, x.run(r))
+}
+
+// announceClose asks the caller to close its connection if the node stops.
+func (g *Gateway) announceClose(h http.Header) {
 	if g.closeConnections.Load() {
-		w.Header().Set("Connection", "close")
-		w.Header().Del("Keep-Alive")
+		h.Set("Connection", "close")
+		h.Del("Keep-Alive")
 	}
-	x.finish(r, x.run(r))
 }
 
 // admit resolves the route, the workspace and the deadline of the request and reads its body.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -23,6 +23,7 @@
 		if r.ContentLength != 0 && !x.bodyRead && !errors.Is(f, os.ErrDeadlineExceeded) {
 			_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // It fails on closed connections only.
 		}
+		g.announceClose(x.w.Header())
 		x.status = writeFailure(x.w, f)
 	}
 	x.updateMetrics(f, total)
