Bound the time to read the body of a rejection

A replica that rejected a request and then sent its body a byte a second, without an end, held the request until the caller's deadline where the route allows no retry: no standby runs beside it, and the rest of up to 4 KB was awaited before the next replica was tried. Callers saw 503 after 20 s instead of the answer of a sound replica.

The body is drained only so that the connection can be reused, so the attempt's connection is now closed when it has not ended within 100 ms.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,6 +16,11 @@
 // minUnmeasuredSilence is the shared silence from which the times of an attempt are not measured.
 const minUnmeasuredSilence = 900 * time.Millisecond
 
+// drainTimeout bounds the time to read the body of a rejection.
+const drainTimeout = 100 * time.Millisecond
+
+var errRejectionEndless = errors.New("the body of the rejection does not end")
+
 // attempt is one attempt at the replica of a placement. It is used by one goroutine at a time.
 type attempt struct {
 	placement catkinspindle.Placement
@@ -259,7 +264,9 @@
 	a.notRun.Store(true)
 	a.result.Outcome = catkinspindle.OutcomeRefused
 	a.result.FaultyReplica = x.resolveFaultyReplica(a.answer.FaultyReplica)
+	drain := time.AfterFunc(drainTimeout, func() { a.cancel(errRejectionEndless) })
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.answer.Body, readChunk)) // Drained so that the connection can be reused.
+	drain.Stop()
 	x.logFailedAttempt(a, "refused, at fault: "+a.answer.FaultyReplica, nil)
 	if a.result.FaultyReplica != "" && a.result.FaultyReplica != a.placement.Replica {
 		x.avoid = append(x.avoid, a.result.FaultyReplica)
