Limit the memory that all answers of replicas take together

The users lost a machine, and with it the requests of its other clients, to a faulty replica that sent bytes without an end.

Each answer was bounded (64 KB of head, 256 KB of body, 128 KB of event), their sum was not.

Answers now share a budget of 15 % of memory-mb, taken before bytes are read. A body that may not grow is forwarded unbuffered, an event or a head fails its attempt. A body that is forwarded unbuffered no longer keeps 256 KB while its caller reads slowly.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -22,7 +22,7 @@
 
 // forwardPlain forwards an answer that is not an event stream. An answer of at most
 // maxBufferedBytes is read completely before its head is sent, so that a failed attempt can
-// be retried.
+// be retried, unless memory is lacking.
 func (x *exchange) forwardPlain(a *attempt, t *takeover) (bool, *catkinspindle.Failure) {
 	if err := a.readBody(); err != nil {
 		x.handleBroken(a, "broken", err, false)
@@ -50,7 +50,7 @@
 	}
 	x.timeToFirstEvent = time.Since(x.arrivedAt)
 	x.beginResponse(answer)
-	if len(a.body) > maxBufferedBytes {
+	if a.partial || len(a.body) > maxBufferedBytes {
 		return x.forwardUnbuffered(a)
 	}
 	if answer.Status < http.StatusInternalServerError {
@@ -64,18 +64,19 @@
 	return true, nil
 }
 
-// forwardUnbuffered forwards an answer of over maxBufferedBytes while it is being received.
+// forwardUnbuffered forwards an answer that is not buffered completely while it is being received.
 // Such a request cannot be retried: if the replica's body is truncated, so is the caller's.
 func (x *exchange) forwardUnbuffered(a *attempt) (bool, *catkinspindle.Failure) {
-	answer, buffered := a.answer, a.body
+	answer, chunk := a.answer, a.body
+	a.body = nil
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	x.w.WriteHeader(answer.Status)
 	control := http.NewResponseController(x.w)
-	remaining := io.LimitReader(answer.Body, maxPlainBytes-int64(len(buffered))+1)
-	forwarded := 0
-	for chunk := buffered; ; {
+	remaining := io.LimitReader(a.metered.ReadCloser, maxPlainBytes-int64(len(chunk))+1)
+	var buffer []byte
+	for forwarded := 0; ; {
 		err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 		if err == nil {
 			_, err = x.w.Write(chunk)
@@ -85,7 +86,10 @@
 			return false, x.fail(reasonCallerGone, "client disconnected")
 		}
 		forwarded += len(chunk)
-		n, err := remaining.Read(buffered[:cap(buffered)])
+		if buffer == nil {
+			buffer = a.newChunk()
+		}
+		n, err := remaining.Read(buffer)
 		switch {
 		case forwarded+n > maxPlainBytes:
 			err = errAnswerTooLong
@@ -101,10 +105,22 @@
 			x.logFailedAttempt(a, "broken after "+strconv.Itoa(forwarded)+" bytes", err)
 			return false, x.fail(catkinspindle.ReasonBackendFailed, "the answer was truncated")
 		}
-		chunk = buffered[:n]
+		chunk = buffer[:n]
 	}
 }
 
+// newChunk returns a buffer for the rest of an answer whose begin has been forwarded.
+func (a *attempt) newChunk() []byte {
+	a.metered.release()
+	if a.metered.reserve(maxChunk) {
+		return make([]byte, maxChunk)
+	}
+	return make([]byte, readChunk)
+}
+
+// maxChunk is the size in bytes of the chunks in which an answer is forwarded unbuffered.
+const maxChunk = 64 << 10
+
 var errAnswerTooLong = errors.New("answer exceeds the size limit")
 
 // beginResponse copies the status and headers of answer to the response, without writing
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,8 +43,12 @@
 	closed bool
 	// peeked is an event that has been read and not yet been forwarded, or the end of the stream.
 	peeked *peekedEvent
+	// metered is the body of answer, nil before there is one.
+	metered *meteredBody
 	// body has the begin of an answer that is no stream, at most maxBufferedBytes and one byte.
 	body []byte
+	// partial is true if memory was lacking for the rest of body.
+	partial bool
 	// unmeasured is true if the attempt's times must not count as those of its replica.
 	unmeasured bool
 	// dataAt is when the request was sent or data last arrived.
@@ -71,6 +75,7 @@
 		a.peeked = nil
 		return p.event, p.err
 	}
+	a.metered.release() // The event before has been forwarded.
 	return a.events.Next()
 }
 
@@ -84,11 +89,27 @@
 	if a.body != nil {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxBufferedBytes+1))
-	if err == nil {
-		a.body = body
+	body := make([]byte, 0, readChunk)
+	for len(body) <= maxBufferedBytes {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), maxBufferedBytes+1)
+			if !a.metered.reserve(int64(size)) {
+				a.partial = true
+				break
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := a.metered.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return err
+	a.body = body
+	return nil
 }
 
 // attrs returns the log attributes that tell a replica that ended an attempt from one that was given
@@ -186,6 +207,8 @@
 		x.handleSendError(a, err)
 		return false
 	}
+	a.metered = &meteredBody{ReadCloser: answer.Body, budget: x.gateway.buffers}
+	answer.Body = a.metered
 	a.answer = answer
 	x.receiveBytes(a, 2*a.placement.ExpectedFirstEvent)
 	if answer.NotRun {
@@ -207,6 +230,7 @@
 	a.closed = true
 	if a.answer != nil {
 		_ = a.answer.Body.Close() // It has been read, or is of no more use.
+		a.metered.release()
 	}
 	a.cancel(nil)
 	x.gateway.silence.End(a.replica, a.placement.JobID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/buffers"
 	"github.com/catkinspindle/catkinspindle/cooldown"
 	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
@@ -86,6 +87,7 @@
 	view       *view.View
 	placer     Placer
 	sender     Sender
+	buffers    *buffers.Budget
 	reserver   ReservationManager
 	budget     *retries.Budget
 	codec      Codec
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/addresses"
+	"github.com/catkinspindle/catkinspindle/buffers"
 	"github.com/catkinspindle/catkinspindle/coordinator"
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/fleet"
@@ -44,6 +45,8 @@
 	joinBackoff = 250 * time.Millisecond
 	// bodyMemoryShare is the share of the VM's memory that request bodies may take.
 	bodyMemoryShare = 0.2
+	// answerMemoryShare is the share of the VM's memory that the answers of replicas may take.
+	answerMemoryShare = 0.15
 
 	secretKind = "catkinspindle-keys"
 	secretName = "fleet"
@@ -128,7 +131,8 @@
 	n.planner = placement.New(placement.WithRateLimits(n.rateLimits))
 	n.paths = paths.New(paths.WithOnLost(n.pathsChanged))
 	n.relays = relays.New(n.direct, n.paths, n.log)
-	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithMetrics(n.metrics), replicas.WithConnector(n.relays), replicas.WithIdleCheck(n.paths.MayReuse))
+	answers := buffers.New(int64(answerMemoryShare * float64(s.MemoryMB) * (1 << 20)))
+	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithBuffers(answers), replicas.WithMetrics(n.metrics), replicas.WithConnector(n.relays), replicas.WithIdleCheck(n.paths.MayReuse))
 	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving), platform.WithConnector(n.relays)), n.log,
 		reservations.WithSilence(func(r catkinspindle.Replica) bool { return n.gateway.MostSilent(r) }))
 	n.retryBudget = retries.New(s.Retry, 1)
@@ -137,7 +141,7 @@
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithConfigExpected(func() bool { return !n.storeFailing.Load() }),
 		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits, n.reportRateLimit),
-		gateway.WithQuarantine(n.quarantine, n.allowTrial), gateway.WithProber(n.replicas),
+		gateway.WithQuarantine(n.quarantine, n.allowTrial), gateway.WithProber(n.replicas), gateway.WithBuffers(answers),
 		gateway.WithMaxBodyBytes(int64(bodyMemoryShare*float64(s.MemoryMB)*(1<<20))))
 	maxAge := addressLifetime
 	if s.MaxLifetime > 0 {
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/buffers"
 )
 
 const (
@@ -59,6 +60,9 @@
 	return func(c *Client) { c.dials = metrics.GetOrRegisterCounter("replica-connections", r) }
 }
 
+// WithBuffers sets the budget of the memory for response heads. The default has no limit.
+func WithBuffers(b *buffers.Budget) Option { return func(c *Client) { c.pool.buffers = b } }
+
 // WithIdleCheck sets the function that decides whether an idle connection to a replica's address,
 // on which data last arrived at lastRead, may carry another request. Without it all may.
 func WithIdleCheck(f func(address string, lastRead time.Time) bool) Option {
@@ -92,6 +96,7 @@
 	if err != nil {
 		stopClose()
 		conn.close()
+		conn.releaseHead()
 		return nil, catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "replica %s: %w", a.Replica.ID, err)
 	}
 	body := answer.Body.(*body)
@@ -248,6 +253,7 @@
 	}
 	conn := b.conn
 	b.conn = nil
+	conn.releaseHead()
 	// If stopClose returns false, the context has ended and closes the connection.
 	active := b.stopClose()
 	if active && b.complete && b.reusable && b.requestWritten() && conn.reader.Buffered() == 0 {
--- a/replicas/endless_test.go
+++ b/replicas/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/buffers"
+	"github.com/catkinspindle/catkinspindle/replicas"
 )
 
 // maxSentBytes is more than the client's limits and the socket buffers hold together.
@@ -140,3 +143,26 @@
 		t.Errorf("error %v, want the verdict may-have-run", err)
 	}
 }
+
+// Guards against a node that runs out of memory because the heads of its replicas' responses are bounded
+// one by one only, and against heads that are counted for longer than they are held.
+func TestHeadsTogetherStayInTheirMemory(t *testing.T) {
+	const lines = 40 << 10 / 6
+	large := "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nResponse-Seal: s\r\n" + strings.Repeat("X: y\r\n", lines) + "Content-Length: 4\r\n\r\nfine"
+	const responses = 60
+	for name, tt := range map[string]struct {
+		budget int64
+		want   bool
+	}{"enough": {16 << 20, true}, "too little": {1 << 20, false}} {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedServer(t, slices.Repeat([]rawResponse{{large, false}}, responses)...)
+			c := newClient(replicas.WithBuffers(buffers.New(tt.budget)))
+			defer func() { _ = c.Close() }()
+			for i := range responses {
+				if _, err := send(t, c, s, http.MethodPost, "a"); (err == nil) != tt.want {
+					t.Fatalf("response %d: error %v", i, err)
+				}
+			}
+		})
+	}
+}
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/buffers"
 )
 
 const (
@@ -42,15 +43,25 @@
 
 	// maxHeadBytes bounds the status line and headers of a response in bytes.
 	maxHeadBytes = 64 << 10
+	// headMemory is the memory in bytes that a byte of a head may take: a short header line takes
+	// several times its length. The first read of a head is not counted.
+	headMemory = 8
 	// noLimit disables the limit on the bytes that are read.
 	noLimit = math.MaxInt
 )
 
+var errHeadMemory = errors.New("memory for response headers is used up")
+
 // conn is a connection to one incarnation of a replica.
 type conn struct {
-	net           net.Conn
-	reader        *bufio.Reader
-	readLimit     int
+	net       net.Conn
+	reader    *bufio.Reader
+	readLimit int
+	// buffers is the budget of response heads. reads counts the reads of the current head, held
+	// the bytes that the heads have taken.
+	buffers       *buffers.Budget
+	reads         int
+	held          int64
 	replica       catkinspindle.Replica
 	reusableUntil time.Time
 	once          sync.Once
@@ -68,6 +79,11 @@
 	if len(p) > c.readLimit {
 		p = p[:c.readLimit]
 	}
+	if c.readLimit != noLimit {
+		if c.reads++; c.reads > 1 && !c.take(int64(len(p))*headMemory) {
+			return 0, errHeadMemory
+		}
+	}
 	n, err := c.net.Read(p)
 	if n > 0 {
 		c.lastRead = time.Now()
@@ -79,7 +95,22 @@
 }
 
 // setReadLimit limits the bytes that are read from now on to n.
-func (c *conn) setReadLimit(n int) { c.readLimit = n }
+func (c *conn) setReadLimit(n int) { c.readLimit, c.reads = n, 0 }
+
+// take takes n bytes from the budget until releaseHead.
+func (c *conn) take(n int64) bool {
+	if !c.buffers.Grow(c.held, n) {
+		return false
+	}
+	c.held += n
+	return true
+}
+
+// releaseHead returns what the heads of the responses have taken.
+func (c *conn) releaseHead() {
+	c.buffers.Release(c.held)
+	c.held = 0
+}
 
 func (c *conn) close() {
 	c.once.Do(func() { _ = c.net.Close() }) // An error has no consequence.
@@ -119,6 +150,7 @@
 type pool struct {
 	connector catkinspindle.Connector
 	mayReuse  func(address string, lastRead time.Time) bool
+	buffers   *buffers.Budget
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
@@ -189,7 +221,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{net: n, replica: r, readLimit: noLimit, lastRead: time.Now()}
+	c := &conn{net: n, replica: r, readLimit: noLimit, buffers: p.buffers, lastRead: time.Now()}
 	c.reader = bufio.NewReaderSize(c, 4<<10)
 	return c, nil
 }
