Bound the comments between two events

A replica that sent comments without an end had them all forwarded, as fast as the caller read, until the stall timeout, or until the deadline on a route that allows no retry.

The attempt now breaks after 128 KB of comments without an event between them, the size that an event may have, and its replica is avoided and reported as failed. The new case 'comments without a pause' forwarded 5,242,895 bytes before.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -142,6 +142,7 @@
 func (x *exchange) forwardEvents(a *attempt, t *takeover) (bool, *catkinspindle.Failure) {
 	control := http.NewResponseController(x.w)
 	received, resumed := 0, x.responseBegun
+	commentBytes := 0
 	for {
 		event, err := a.next()
 		if errors.Is(err, io.EOF) {
@@ -161,6 +162,11 @@
 		if err == nil {
 			err = x.checkSequence(event, resumed)
 		}
+		if err == nil && event.CommentOnly {
+			if commentBytes += len(event.Bytes); commentBytes > maxCommentBytes {
+				err = errTooManyComments
+			}
+		}
 		if errors.Is(err, errDuplicateEvent) {
 			continue
 		}
@@ -175,6 +181,7 @@
 			if !t.receive() {
 				return false, x.lose(a)
 			}
+			commentBytes = 0
 			x.receiveData(a)
 			if received++; received == harmlessEvents {
 				x.recordBegun()
@@ -225,10 +232,14 @@
 	return nil
 }
 
+// maxCommentBytes is the maximum size in bytes of the comments between two events.
+const maxCommentBytes = 128 << 10
+
 var (
-	errDuplicateEvent = errors.New("event was already forwarded")
-	errEventGap       = errors.New("gap in event numbers")
-	errForeignEvent   = errors.New("event of a resumed stream has no number")
+	errDuplicateEvent  = errors.New("event was already forwarded")
+	errTooManyComments = errors.New("comments without an event exceed the size limit")
+	errEventGap        = errors.New("gap in event numbers")
+	errForeignEvent    = errors.New("event of a resumed stream has no number")
 )
 
 // checkSequence checks that event has the number after that of the last forwarded event. An event
--- a/gateway/endless_replica_test.go
+++ b/gateway/endless_replica_test.go
@@ -59,7 +59,7 @@
 // Guards against requests that wait for a replica that sends without an end, however slowly, and against
 // such a replica being taken for a sound one.
 func TestReplicaThatSendsWithoutEndIsLeft(t *testing.T) {
-	const limit = 2 * time.Second
+	const limit, maxForwarded = 2 * time.Second, 256 << 10
 	ok := catkinspindle.AnswerHead{Status: http.StatusOK}
 	event := "id: 1\ndata: a\n\n"
 	tests := map[string]struct {
@@ -71,6 +71,7 @@
 		"failure":                    {faultyReplicas{head: catkinspindle.AnswerHead{Status: http.StatusInternalServerError}, unit: "x", sound: "fine"}, "/quick-any/", catkinspindle.OutcomeFailed},
 		"event":                      {faultyReplicas{head: ok, text: "data: ", unit: "x", sound: event}, "/quick/", catkinspindle.OutcomeFailed},
 		"comments":                   {faultyReplicas{head: ok, unit: ": x\n\n", sound: event}, "/quick/", catkinspindle.OutcomeFailed},
+		"comments without a pause":   {faultyReplicas{head: ok, text: strings.Repeat(": x\n\n", 1<<20), unit: "x", sound: event}, "/quick/", catkinspindle.OutcomeFailed},
 		"rejection":                  {faultyReplicas{head: catkinspindle.AnswerHead{Status: http.StatusServiceUnavailable, NotRun: true}, unit: "x", sound: "fine"}, "/quick-any/", catkinspindle.OutcomeRefused},
 		"rejection of a single call": {faultyReplicas{head: catkinspindle.AnswerHead{Status: http.StatusServiceUnavailable, NotRun: true}, unit: "x", sound: "fine"}, "/once-of-three/", catkinspindle.OutcomeRefused},
 	}
@@ -82,7 +83,10 @@
 				start := time.Now()
 				answer, aborted := serveAborted(newGateway(w, tt.replicas, 9, true), tt.path)
 				if body := answer.Body.String(); aborted || answer.Code != http.StatusOK || !strings.HasSuffix(body, tt.replicas.sound) {
-					t.Errorf("status %d, body %q, aborted: %t", answer.Code, body, aborted)
+					t.Errorf("status %d, body ending in %q, aborted: %t", answer.Code, body[max(0, len(body)-100):], aborted)
+				}
+				if n := answer.Body.Len(); n > maxForwarded {
+					t.Errorf("%d bytes were forwarded", n)
 				}
 				if d := time.Since(start); d > limit {
 					t.Errorf("answered after %v", d)
