--- a/proofs/endless_replicas_test.go
+++ b/proofs/endless_replicas_test.go
@@ -396,7 +396,7 @@
 			c.result.answered++
 		} else {
 			c.result.lost++
-			c.result.firstLoss = cmp.Or(c.result.firstLoss, fmt.Sprintf("status %d, error %v", status, err))
+			c.result.firstLoss = cmp.Or(c.result.firstLoss, fmt.Sprintf("status %d, body %.80q, error %v", status, body, err))
 		}
 		c.mu.Unlock()
 		select {
