--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/buffers"
 	"github.com/catkinspindle/catkinspindle/cooldown"
 	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
@@ -90,6 +91,7 @@
 	view       *view.View
 	placer     Placer
 	sender     Sender
+	buffers    *buffers.Budget
 	reserver   ReservationManager
 	budget     *retries.Budget
 	codec      Codec
