Let the handler answer requests for all of a server

OPTIONS * was answered by net/http itself: without the form of the node's other answers, and neither counted nor logged.

The new case of TestEndsOfRequestsAndConnectionsAreCounted failed before.

--- a/httpserver/account_test.go
+++ b/httpserver/account_test.go
@@ -53,6 +53,7 @@
 		logged string
 	}{
 		"answered":        {[]string{get("/"), get("/"), leave}, map[string]int64{"requests-begun": 2, "requests-ended": 2, "connections-closed-caller": 1}, ""},
+		"options":         {[]string{"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", leave}, map[string]int64{"requests-begun": 1, "requests-ended": 1, "connections-closed-caller": 1}, ""},
 		"asked to close":  {[]string{"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"}, map[string]int64{"requests-begun": 1, "requests-ended": 1, "connections-closed-answered": 1}, ""},
 		"aborted":         {[]string{get("/"), get("/abort")}, map[string]int64{"requests-begun": 2, "requests-ended": 1, "requests-aborted": 1, "connections-closed-aborted": 1}, `"reason":"aborted"`},
 		"panic":           {[]string{get("/panic")}, map[string]int64{"requests-begun": 1, "requests-aborted": 1, "connections-closed-aborted": 1}, `"panic":"fault"`},
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -74,9 +74,11 @@
 		Handler:           s.account,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    math.MaxInt32,
-		ConnState:         s.connStateChanged,
-		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		// Without it, net/http answers OPTIONS * itself.
+		DisableGeneralOptionsHandler: true,
+		ConnState:                    s.connStateChanged,
+		ConnContext:                  func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	s.SetLimits(catkinspindle.TrafficLimits{})
 	return s
