Limit the answer to the request for a tunnel

Callers saw: nothing yet; read from the code after the report that a neighbour's bytes without an end took a node's memory. Cause: open decoded the response from the bare stream, so a peer that never ends its response filled the memory until the deadline. Evidence: TestEndlessAnswerToTunnelRequest failed before: 95,883,808 bytes were read within its deadline of 2 s. Fix: at most 64 KiB are read; the response carries no more than the report of a failure. What was read beyond the response stays in the decoder, which is part of the tunnel's reader as before. The format is unchanged.

--- a/peers/tunnel.go
+++ b/peers/tunnel.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +23,9 @@
 	abortedCode = 1
 	// tunnelLinger is how long a connection without tunnels is kept.
 	tunnelLinger = 5 * time.Second
+	// maxTunnelAnswerBytes is the maximum size of the response to the request for a tunnel, with
+	// what is read together with it. The response has no body.
+	maxTunnelAnswerBytes = 64 << 10
 )
 
 // tunnelConn is a connection for tunnels. Tunnels do not share the connections of calls, which
@@ -203,7 +205,7 @@
 	if _, err := t.Write(data); err != nil {
 		return failed(err)
 	}
-	decoder := cbor.NewDecoder(t.Stream)
+	decoder := cbor.NewDecoder(io.LimitReader(t.Stream, maxTunnelAnswerBytes))
 	var r response
 	if err := decoder.Decode(&r); err != nil {
 		return failed(err)
@@ -214,11 +216,7 @@
 	if !stop() {
 		return failed(ctx.Err())
 	}
-	rest, err := io.ReadAll(decoder.Buffered())
-	if err != nil {
-		return failed(err)
-	}
-	t.reader = io.MultiReader(bytes.NewReader(rest), t.Stream)
+	t.reader = io.MultiReader(decoder.Buffered(), t.Stream)
 	return nil
 }
 
