Bound the messages that are read from peers at a time

Callers saw: a node that ran out of memory because of a neighbour's bytes without an end (there a replica; this is the same for peers). Cause: a message was limited to 2 MiB, but a connection may have 4,096 calls, and a request that never ended was kept as long as its connection. Fix: buffers are counted before bytes are read into them: at most 32 MiB for all peers, a fifth of the smallest VM's 160 MB, and a quarter of that for one connection. Beyond it the stream is cancelled with a code of its own, which the caller reports as not-run; an older build reports may-have-run, as for any broken stream. A request must arrive in 10 s. The format is unchanged. 420 calls of 16 KiB at once pass. Without the total, TestUnfinishedRequestsOfAllPeers fails; without the share, TestUnfinishedRequestsOfOnePeer and ...ResponsesOfOnePeer. The decoder allocates no claimed lengths: it checks that an item is whole before it decodes it.

--- a/peers/endless_test.go
+++ b/peers/endless_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -51,9 +54,9 @@
 	}
 }
 
-// startEndless starts a peer that answers each request with bytes without an end until the
-// stream breaks, and counts them.
-func startEndless(t *testing.T, dir string, sent *atomic.Int64) string {
+// startEndless starts a peer that answers each request with size bytes of a message
+// without an end, or fewer if the stream breaks, and counts them.
+func startEndless(t *testing.T, dir string, size int64, sent *atomic.Int64) string {
 	t.Helper()
 	l, err := quic.ListenAddr("127.0.0.1:0", peerTLS(t, dir, "endless"), nil)
 	if err != nil {
@@ -80,7 +83,7 @@
 						return nil
 					}
 					group.Go(func() error {
-						sendEndless(s, sent)
+						sendEndless(ctx, s, size, sent)
 						return nil
 					})
 				}
@@ -90,13 +93,17 @@
 	return l.Addr().String()
 }
 
-func sendEndless(s *quic.Stream, sent *atomic.Int64) {
+func sendEndless(ctx context.Context, s *quic.Stream, size int64, sent *atomic.Int64) {
 	_, err := s.Write(endlessText)
-	for err == nil {
+	for total := int64(0); err == nil && total < size; {
 		var n int
 		n, err = s.Write(endlessChunk)
+		total += int64(n)
 		sent.Add(int64(n))
 	}
+	if err == nil {
+		<-ctx.Done()
+	}
 }
 
 // TestEndlessAnswerToTunnelRequest guards against buffering whatever a peer sends before a tunnel
@@ -105,7 +112,7 @@
 	dir := t.TempDir()
 	p, _ := start(t, dir, "a")
 	var sent atomic.Int64
-	address := startEndless(t, dir, &sent)
+	address := startEndless(t, dir, 1<<40, &sent)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	tun, err := p.OpenTunnel(ctx, address, "raw", "x")
@@ -121,3 +128,155 @@
 		t.Errorf("peer could send %d bytes", n)
 	}
 }
+
+// stallRequests opens connections to address with as many streams, and sends on each size bytes of
+// a request without an end. It returns the streams.
+func stallRequests(t *testing.T, config *tls.Config, address string, conns, streams, size int) []*quic.Stream {
+	t.Helper()
+	var list []*quic.Stream
+	for range conns {
+		conn, err := quic.DialAddr(context.Background(), address, config, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
+		for range streams {
+			s, err := conn.OpenStreamSync(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			list = append(list, s)
+		}
+	}
+	var group errgroup.Group
+	for _, s := range list {
+		group.Go(func() error {
+			_ = s.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			_, err := s.Write(endlessText)
+			for n := 0; err == nil && n < size; n += len(endlessChunk) {
+				_, err = s.Write(endlessChunk)
+			}
+			return nil // A refused stream breaks.
+		})
+	}
+	_ = group.Wait() // It returns no error.
+	return list
+}
+
+// refused counts the streams that are refused for lack of memory within 3 s.
+func refused(list []*quic.Stream) int {
+	n := 0
+	deadline := time.Now().Add(3 * time.Second)
+	for _, s := range list {
+		_ = s.SetReadDeadline(deadline)
+		var e *quic.StreamError
+		if _, err := s.Read(make([]byte, 1)); errors.As(err, &e) && e.Remote && e.ErrorCode == 2 {
+			n++
+		}
+	}
+	return n
+}
+
+// TestUnfinishedRequestsOfOnePeer guards against a limit for each request only: a peer that
+// begins many of them must not fill the memory, nor keep other peers from being served.
+func TestUnfinishedRequestsOfOnePeer(t *testing.T) {
+	dir := t.TempDir()
+	_, address := start(t, dir, "a")
+	other, _ := start(t, dir, "b")
+	list := stallRequests(t, peerTLS(t, dir, "endless"), address, 1, 24, 1<<20)
+	// A request of 1 MiB has a buffer of over 1 MiB; a connection may have 8 MiB.
+	if n := len(list) - refused(list); n > 7 {
+		t.Errorf("%d of %d unfinished requests of 1 MiB are kept", n, len(list))
+	}
+	if got, err := call(other, address, "hello"); err != nil || got != "hello" {
+		t.Errorf("another peer has the answer %q, %v", got, err)
+	}
+}
+
+// TestUnfinishedRequestsOfAllPeers guards against a limit for each connection only.
+func TestUnfinishedRequestsOfAllPeers(t *testing.T) {
+	dir := t.TempDir()
+	_, address := start(t, dir, "a")
+	list := stallRequests(t, peerTLS(t, dir, "endless"), address, 6, 8, 1<<20)
+	if n := len(list) - refused(list); n > 31 {
+		t.Errorf("%d of %d unfinished requests of 1 MiB are kept", n, len(list))
+	}
+	other, _ := start(t, dir, "b")
+	got, err := call(other, address, strings.Repeat("x", 1<<20))
+	f := catkinspindle.AsFailure(err)
+	if err == nil || f.Verdict != catkinspindle.NotRun || f.Reason != catkinspindle.ReasonOverload {
+		t.Errorf("a large request beside them has an answer of %d bytes, %v; want not-run overload", len(got), err)
+	}
+}
+
+// TestUnfinishedRequestEndsInTime guards against requests that stay unfinished for good and keep
+// their share of the memory.
+func TestUnfinishedRequestEndsInTime(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	_, address := start(t, dir, "a")
+	list := stallRequests(t, peerTLS(t, dir, "endless"), address, 1, 1, 1<<20)
+	_ = list[0].SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := list[0].Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("an unfinished request is kept for over 20 s: %v", err)
+	}
+}
+
+// TestNormalTrafficOfManyPeers guards against a limit that refuses what a large fleet sends at once.
+func TestNormalTrafficOfManyPeers(t *testing.T) {
+	dir := t.TempDir()
+	_, address := start(t, dir, "a")
+	var callers []*peers.Transport
+	for range 21 {
+		c, _ := start(t, dir, "b")
+		if _, err := call(c, address, "first"); err != nil {
+			t.Fatal(err)
+		}
+		callers = append(callers, c)
+	}
+	text := strings.Repeat("x", 16<<10)
+	var group errgroup.Group
+	for i := range 420 {
+		group.Go(func() error {
+			got, err := call(callers[i%len(callers)], address, text)
+			if err == nil && got != text {
+				err = errors.New("another answer")
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestUnfinishedResponsesOfOnePeer guards against a limit for each response only.
+func TestUnfinishedResponsesOfOnePeer(t *testing.T) {
+	const calls = 24
+	dir := t.TempDir()
+	p, _ := start(t, dir, "a")
+	var sent atomic.Int64
+	address := startEndless(t, dir, 1<<20, &sent)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	var group errgroup.Group
+	var ended atomic.Int64
+	for range calls {
+		group.Go(func() error {
+			err := p.Call(ctx, address, "echo", "x", nil)
+			if f := catkinspindle.AsFailure(err); err == nil || f.Verdict != catkinspindle.MayHaveRun {
+				return fmt.Errorf("failure %w, want may-have-run", err)
+			}
+			if ctx.Err() == nil {
+				ended.Add(1)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if n := calls - ended.Load(); n > 7 {
+		t.Errorf("%d of %d unfinished responses of 1 MiB are kept", n, calls)
+	}
+}
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -8,7 +8,6 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -39,8 +38,13 @@
 	// maxIncomingCalls is the maximum number of calls in flight on a connection from a peer.
 	maxIncomingCalls = 4096
 
+	// requestTimeout is the time in which a request must have arrived whole.
+	requestTimeout = 10 * time.Second
+
 	// closeCode is the QUIC application error code of every connection close.
 	closeCode = 0
+	// busyCode is the QUIC error code of streams whose request was not read for lack of memory.
+	busyCode = 2
 )
 
 // Transport sends requests to peers and serves theirs. It implements catkinspindle.Peers,
@@ -57,13 +61,22 @@
 	quicTransport  *quic.Transport
 	listener       *quic.Listener
 	cancel         context.CancelFunc
+	// reading bounds the messages that are being read from all peers.
+	reading *budget
 
 	mu    sync.Mutex
-	conns map[string]*quic.Conn
+	conns map[string]*callConn
 	// tunnelConns has the connections for tunnels by address.
 	tunnelConns map[string]*tunnelConn
 }
 
+// callConn is a connection for calls.
+type callConn struct {
+	*quic.Conn
+	// reading bounds the responses that are being read.
+	reading *budget
+}
+
 type request struct {
 	Kind string          `cbor:"1,keyasint"`
 	Body cbor.RawMessage `cbor:"2,keyasint"`
@@ -111,7 +124,8 @@
 
 		tunnelHandlers: map[string]catkinspindle.TunnelHandler{},
 		tunnelConns:    map[string]*tunnelConn{},
-		conns:          map[string]*quic.Conn{},
+		conns:          map[string]*callConn{},
+		reading:        newBudget(maxReading, nil),
 	}
 }
 
@@ -182,26 +196,35 @@
 // serve handles the calls of one connection.
 func (t *Transport) serve(ctx context.Context, conn *quic.Conn) {
 	defer func() { _ = conn.CloseWithError(closeCode, "stopping") }() // The connection is not used any more.
+	reading := newBudget(maxReadingOfPeer, t.reading)
 	for {
 		s, err := conn.AcceptStream(ctx)
 		if err != nil {
 			return
 		}
 		t.group.Go(func() error {
-			t.handleStream(conn, s)
+			t.handleStream(conn, s, reading)
 			return nil
 		})
 	}
 }
 
-func (t *Transport) handleStream(conn *quic.Conn, s *quic.Stream) {
+func (t *Transport) handleStream(conn *quic.Conn, s *quic.Stream, reading *budget) {
 	defer func() { _ = s.Close() }()
 	var req request
-	if err := cbor.NewDecoder(io.LimitReader(s, maxMessageBytes)).Decode(&req); err != nil {
+	_ = s.SetReadDeadline(time.Now().Add(requestTimeout)) // A stream has deadlines.
+	switch err := decodeMessage(s, reading, &req); {
+	case errors.Is(err, errBusy):
+		t.log.Warn("request from peer not read", events.PeerMalformed.Attr(), "error", err)
+		s.CancelRead(busyCode)
+		s.CancelWrite(busyCode)
+		return
+	case err != nil:
 		t.log.Warn("malformed request from peer", events.PeerMalformed.Attr(), "error", err)
 		s.CancelRead(0)
 		return
 	}
+	_ = s.SetReadDeadline(time.Time{}) // Tunnels have no deadline.
 	if h, ok := t.tunnelHandlers[req.Kind]; ok {
 		t.serveTunnel(conn, s, req, h)
 		return
@@ -214,6 +237,13 @@
 	_, _ = s.Write(data)
 }
 
+// decodeMessage reads a message into v.
+func decodeMessage(s *quic.Stream, reading *budget, v any) error {
+	r := &budgetReader{reader: s, budget: reading}
+	defer r.release()
+	return cbor.NewDecoder(r).Decode(v)
+}
+
 func (t *Transport) dispatch(ctx context.Context, req request) response {
 	h, ok := t.handlers[req.Kind]
 	if !ok {
@@ -255,7 +285,7 @@
 	if err != nil {
 		return err
 	}
-	err = roundTrip(ctx, s, address, data, resp)
+	err = roundTrip(ctx, s, conn.reading, address, data, resp)
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// A peer that has restarted at the same address has no state of this connection.
 		// Only a new connection shows whether the peer is alive.
@@ -265,7 +295,7 @@
 }
 
 // openStream opens a stream on the connection to address.
-func (t *Transport) openStream(ctx context.Context, address string) (*quic.Conn, *quic.Stream, error) {
+func (t *Transport) openStream(ctx context.Context, address string) (*callConn, *quic.Stream, error) {
 	conn, err := t.connect(ctx, address)
 	if err != nil {
 		return nil, nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "peers: connect to %s: %w", address, err)
@@ -281,7 +311,7 @@
 }
 
 // dropConnection closes a connection on which a call failed and removes it from the pool.
-func (t *Transport) dropConnection(address string, conn *quic.Conn) {
+func (t *Transport) dropConnection(address string, conn *callConn) {
 	t.mu.Lock()
 	if t.conns[address] == conn {
 		delete(t.conns, address)
@@ -291,23 +321,26 @@
 }
 
 // roundTrip writes a request and reads its response into resp unless resp is nil.
-func roundTrip(ctx context.Context, s *quic.Stream, address string, data []byte, resp any) error {
-	mayHaveRun := func(err error) error {
+func roundTrip(ctx context.Context, s *quic.Stream, reading *budget, address string, data []byte, resp any) error {
+	failed := func(err error) error {
 		s.CancelRead(0)
 		s.CancelWrite(0)
+		if refused := new(quic.StreamError); errors.As(err, &refused) && refused.Remote && refused.ErrorCode == busyCode {
+			return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "peers: call %s: %w", address, err)
+		}
 		return catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "peers: call %s: %w", address, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Now()) })
 	defer stop()
 	if _, err := s.Write(data); err != nil {
-		return mayHaveRun(err)
+		return failed(err)
 	}
 	if err := s.Close(); err != nil {
-		return mayHaveRun(err)
+		return failed(err)
 	}
 	var r response
-	if err := cbor.NewDecoder(io.LimitReader(s, maxMessageBytes)).Decode(&r); err != nil {
-		return mayHaveRun(err)
+	if err := decodeMessage(s, reading, &r); err != nil {
+		return failed(err)
 	}
 	if r.Failure != nil {
 		return r.Failure.Failure()
@@ -316,18 +349,18 @@
 		return nil
 	}
 	if err := cbor.Unmarshal(r.Body, resp); err != nil {
-		return mayHaveRun(err)
+		return failed(err)
 	}
 	return nil
 }
 
 // connect returns the open connection to address, or dials a new one.
-func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
+func (t *Transport) connect(ctx context.Context, address string) (*callConn, error) {
 	t.mu.Lock()
-	conn, ok := t.conns[address]
+	pooled, ok := t.conns[address]
 	t.mu.Unlock()
-	if ok && conn.Context().Err() == nil {
-		return conn, nil
+	if ok && pooled.Context().Err() == nil {
+		return pooled, nil
 	}
 	conn, err := quic.DialAddr(ctx, address, t.tlsConfig, quicConfig())
 	if err != nil {
@@ -339,6 +372,7 @@
 		_ = conn.CloseWithError(closeCode, "duplicate")
 		return existing, nil
 	}
-	t.conns[address] = conn
-	return conn, nil
+	opened := &callConn{Conn: conn, reading: newBudget(maxReadingOfPeer, t.reading)}
+	t.conns[address] = opened
+	return opened, nil
 }
