Limit what a caller's client reads from a node

Callers saw: nothing yet; the client kept whatever a node sent. Cause: replies, failures and addresses were read without a limit, events without a limit of their sum, and heads up to 10 MB. Evidence: TestEndlessAnswersOfNodes failed before for five of six kinds of answers, which were read to the 64 MiB at which the test stops. Fix: each has a limit, with an error that names it: heads and failures 64 KiB, addresses and replies 1 MiB, streamed answers 16 MiB.

--- a/entries/client.go
+++ b/entries/client.go
@@ -17,6 +17,17 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/callers"
+	"github.com/catkinspindle/catkinspindle/wire"
+)
+
+// Size limits of what nodes send, in bytes.
+const (
+	maxHeaderBytes    = 64 << 10
+	maxFailureBytes   = 64 << 10
+	maxAddressesBytes = 1 << 20
+	maxAnswerBytes    = 16 << 20
+	// maxReplyBytes is above the 512 KiB that nodes accept from a plain service.
+	maxReplyBytes = 1 << 20
 )
 
 // Client is a client that calls with the API key of one workspace.
@@ -37,7 +48,7 @@
 	return &Client{
 		apiKey:     apiKey,
 		seedURLs:   urls,
-		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}},
+		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 }
 
@@ -89,7 +100,7 @@
 		return decodeFailure(resp)
 	}
 	var a addressesResponse
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+	if err := json.NewDecoder(wire.Limit(resp.Body, maxAddressesBytes)).Decode(&a); err != nil {
 		return err
 	}
 	lifetime, err := time.ParseDuration(a.Lifetime)
@@ -107,7 +118,7 @@
 // decodeFailure decodes the response of a failed request.
 func decodeFailure(resp *http.Response) error {
 	var b failureResponse
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil || b.Error == nil {
+	if err := json.NewDecoder(wire.Limit(resp.Body, maxFailureBytes)).Decode(&b); err != nil || b.Error == nil {
 		return catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "status %s", resp.Status)
 	}
 	return b.Error.failure()
@@ -170,7 +181,7 @@
 		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readEvents(resp.Body, start)
+	return readEvents(wire.Limit(resp.Body, maxAnswerBytes), start)
 }
 
 // post sends a request and returns the response if its status is 2xx, otherwise the failure
@@ -265,7 +276,7 @@
 		return catkinspindle.PlainReply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(wire.Limit(resp.Body, maxReplyBytes))
 	if err != nil {
 		return catkinspindle.PlainReply{}, catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "%w", err)
 	}
