Limit what the operators' commands read from a node

Operators saw: nothing yet; the commands kept whatever a node sent. Cause: answers were decoded without a limit, by the default client. Evidence: TestEndlessAnswersToOperators failed before; both answers were read to the 64 MiB at which the test stops. Fix: answers are limited to 16 MiB, failures and heads to 64 KiB.

--- a/commands/operators.go
+++ b/commands/operators.go
@@ -19,6 +19,7 @@
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/manifest"
 	"github.com/catkinspindle/catkinspindle/operators"
+	"github.com/catkinspindle/catkinspindle/wire"
 )
 
 // operatorFlags are the flags shared by the commands that use the operators' listener of a
@@ -33,7 +34,22 @@
 	cmd.Flags().StringVar(&f.output, "output", "text", "output format: text or json")
 }
 
-const operatorTimeout = 40 * time.Second
+const (
+	operatorTimeout = 40 * time.Second
+	// Size limits of what nodes send, in bytes.
+	maxOperatorHeaderBytes  = 64 << 10
+	maxOperatorFailureBytes = 64 << 10
+	maxOperatorAnswerBytes  = 16 << 20
+)
+
+// newOperatorClient returns an HTTP client for one request.
+func newOperatorClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		Proxy:                  http.ProxyFromEnvironment,
+		MaxResponseHeaderBytes: maxOperatorHeaderBytes,
+		DisableKeepAlives:      true,
+	}}
+}
 
 // roundTrip sends a request to the node and decodes the JSON response into v.
 func (f *operatorFlags) roundTrip(ctx context.Context, method, path string, body []byte, v any) error {
@@ -46,19 +62,19 @@
 	if err != nil {
 		return inputError{err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newOperatorClient().Do(req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		var report catkinspindle.FailureReport
-		if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+		if err := json.NewDecoder(wire.Limit(resp.Body, maxOperatorFailureBytes)).Decode(&report); err != nil {
 			return fmt.Errorf("%s: %s", f.url, resp.Status)
 		}
 		return report.Failure()
 	}
-	return json.NewDecoder(resp.Body).Decode(v)
+	return json.NewDecoder(wire.Limit(resp.Body, maxOperatorAnswerBytes)).Decode(v)
 }
 
 // writeOutput writes v as JSON if --output is json, and calls writeText otherwise.
