Let the test of endless chunks end without a limit too

Cause: only the client's limit ended the test's answer. Fix: the engine stops after 64 MiB, 64 times the limit of a chunk, and the test fails if it came so far. The test is as strict as before for a client that leaves in time, and stricter for one that leaves late.

--- a/engines/client_test.go
+++ b/engines/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,9 +22,13 @@
 )
 
 // An engine that sends endless bytes within a chunk or between chunks makes the call fail
-// rather than read forever. The complete chunks before them are delivered, however many.
+// rather than read forever. The complete chunks before them are delivered, however many. The
+// engine stops far over the limit, and the client must have left before.
 func TestEndlessBytes(t *testing.T) {
-	const chunk = `{"text":"x"}` + "\n"
+	const (
+		chunk      = `{"text":"x"}` + "\n"
+		maxEndless = 64 << 20
+	)
 	tests := map[string]struct {
 		prefix, endless string
 		chunks          int
@@ -35,10 +40,17 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			var sentAll atomic.Bool
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				_, err := io.WriteString(w, tt.prefix)
-				for err == nil {
-					_, err = io.WriteString(w, tt.endless)
+				for sent := 0; err == nil; {
+					if sent >= maxEndless {
+						sentAll.Store(true)
+						return
+					}
+					var n int
+					n, err = io.WriteString(w, tt.endless)
+					sent += n
 				}
 			}))
 			defer server.Close()
@@ -58,6 +70,7 @@
 				}
 				got++
 			}
+			stream.Close()
 			if got != tt.chunks || ctx.Err() != nil {
 				t.Errorf("%d chunks, want %d, then %v", got, tt.chunks, err)
 			}
@@ -65,6 +78,10 @@
 			if _, err := c.Status(ctx); ctx.Err() != nil {
 				t.Errorf("status: error %v after a minute", err)
 			}
+			server.Close()
+			if sentAll.Load() {
+				t.Errorf("client has read %d bytes without an end", maxEndless)
+			}
 		})
 	}
 }
