--- a/peers/transport.go
+++ b/peers/transport.go
@@ -20,6 +20,7 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
+	"github.com/catkinspindle/catkinspindle/readbudget"
 )
 
 // ServerName is the DNS name in the certificates of nodes.
@@ -31,6 +32,11 @@
 const (
 	// maxMessageBytes is the maximum size of a request or response in bytes.
 	maxMessageBytes = 2 << 20
+	// maxReading bounds the buffers of all messages that are being read, maxReadingOfPeer those of
+	// one connection, both in bytes. The first is a fifth of the memory of the smallest VM; a
+	// faulty peer takes no more than a quarter of it. A buffer grows to at most twice its message.
+	maxReading       = 32 << 20
+	maxReadingOfPeer = 8 << 20
 	// idleTimeout is the idle timeout of a connection.
 	idleTimeout = 5 * time.Second
 	// keepAliveInterval is the interval of keep-alive packets on an idle connection.
@@ -62,7 +68,7 @@
 	listener       *quic.Listener
 	cancel         context.CancelFunc
 	// reading bounds the messages that are being read from all peers.
-	reading *budget
+	reading *readbudget.Budget
 
 	mu    sync.Mutex
 	conns map[string]*callConn
@@ -74,7 +80,7 @@
 type callConn struct {
 	*quic.Conn
 	// reading bounds the responses that are being read.
-	reading *budget
+	reading *readbudget.Budget
 }
 
 type request struct {
@@ -125,7 +131,7 @@
 		tunnelHandlers: map[string]catkinspindle.TunnelHandler{},
 		tunnelConns:    map[string]*tunnelConn{},
 		conns:          map[string]*callConn{},
-		reading:        newBudget(maxReading, nil),
+		reading:        readbudget.New(maxReading),
 	}
 }
 
@@ -196,7 +202,7 @@
 // serve handles the calls of one connection.
 func (t *Transport) serve(ctx context.Context, conn *quic.Conn) {
 	defer func() { _ = conn.CloseWithError(closeCode, "stopping") }() // The connection is not used any more.
-	reading := newBudget(maxReadingOfPeer, t.reading)
+	reading := t.reading.Share(maxReadingOfPeer)
 	for {
 		s, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -209,12 +215,12 @@
 	}
 }
 
-func (t *Transport) handleStream(conn *quic.Conn, s *quic.Stream, reading *budget) {
+func (t *Transport) handleStream(conn *quic.Conn, s *quic.Stream, reading *readbudget.Budget) {
 	defer func() { _ = s.Close() }()
 	var req request
 	_ = s.SetReadDeadline(time.Now().Add(requestTimeout)) // A stream has deadlines.
 	switch err := decodeMessage(s, reading, &req); {
-	case errors.Is(err, errBusy):
+	case errors.Is(err, readbudget.ErrExhausted):
 		t.log.Warn("request from peer not read", events.PeerMalformed.Attr(), "error", err)
 		s.CancelRead(busyCode)
 		s.CancelWrite(busyCode)
@@ -238,9 +244,9 @@
 }
 
 // decodeMessage reads a message into v.
-func decodeMessage(s *quic.Stream, reading *budget, v any) error {
-	r := &budgetReader{reader: s, budget: reading}
-	defer r.release()
+func decodeMessage(s *quic.Stream, reading *readbudget.Budget, v any) error {
+	r := reading.Limit(s, maxMessageBytes)
+	defer func() { _ = r.Close() }() // It returns no error.
 	return cbor.NewDecoder(r).Decode(v)
 }
 
@@ -321,7 +327,7 @@
 }
 
 // roundTrip writes a request and reads its response into resp unless resp is nil.
-func roundTrip(ctx context.Context, s *quic.Stream, reading *budget, address string, data []byte, resp any) error {
+func roundTrip(ctx context.Context, s *quic.Stream, reading *readbudget.Budget, address string, data []byte, resp any) error {
 	failed := func(err error) error {
 		s.CancelRead(0)
 		s.CancelWrite(0)
@@ -372,7 +378,7 @@
 		_ = conn.CloseWithError(closeCode, "duplicate")
 		return existing, nil
 	}
-	opened := &callConn{Conn: conn, reading: newBudget(maxReadingOfPeer, t.reading)}
+	opened := &callConn{Conn: conn, reading: t.reading.Share(maxReadingOfPeer)}
 	t.conns[address] = opened
 	return opened, nil
 }
