Bound the answers of backend servers that are read at a time

Cause: a reply of a plain service was limited to 512 KiB and a status of an engine to 16 MiB, but not the sum over the calls in flight and over the engines that are polled at the same time. Evidence: without the sum, TestUnfinishedRepliesOfManyCalls and TestUnfinishedStatusesOfManyEngines kept all 65,536,000 bytes that 128 unfinished answers had sent. Fix: the buffers of a client's answers together take at most 32 MiB, a fifth of the smallest VM's 160 MB; beyond it reading fails, and a call is may-have-run as with any reply that breaks. The status of an engine is limited to 1 MiB, like a chunk, so that one engine can't use up the sum.

--- a/backends/dialer.go
+++ b/backends/dialer.go
@@ -10,6 +10,9 @@
 	"github.com/catkinspindle/catkinspindle/wire"
 )
 
+// maxStatusBytes is the maximum size of an engine's status in bytes.
+const maxStatusBytes = 1 << 20
+
 // Dialer implements catkinspindle.Dialer over HTTP.
 type Dialer struct {
 	// calls is used for plain calls and streams. Their responses do not identify the
@@ -23,7 +26,8 @@
 // them.
 func New(dialTimeout time.Duration, opts ...wire.Option) *Dialer {
 	calls := append([]wire.Option{wire.WithoutKeepAlive()}, opts...)
-	return &Dialer{calls: wire.NewClient(dialTimeout, calls...), control: wire.NewClient(dialTimeout, opts...)}
+	control := append([]wire.Option{wire.WithMaxJSON(maxStatusBytes)}, opts...)
+	return &Dialer{calls: wire.NewClient(dialTimeout, calls...), control: wire.NewClient(dialTimeout, control...)}
 }
 
 // Engine implements catkinspindle.Dialer.
--- a/engines/client_test.go
+++ b/engines/client_test.go
@@ -153,3 +153,32 @@
 		}
 	}
 }
+
+// TestUnfinishedStatusesOfManyEngines guards against a limit for each status only.
+func TestUnfinishedStatusesOfManyEngines(t *testing.T) {
+	const engineCount = 128
+	const size = 500 << 10
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, `{"x":"`+strings.Repeat("x", size)) // The client may have left.
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	client := wire.NewClient(time.Second)
+	var group errgroup.Group
+	var ended atomic.Int64
+	for range engineCount {
+		group.Go(func() error {
+			if _, err := engines.New(strings.TrimPrefix(server.URL, "http://"), client, client).Status(ctx); err != nil && ctx.Err() == nil {
+				ended.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // It returns no error.
+	if kept := (engineCount - ended.Load()) * size; kept > 32<<20 {
+		t.Errorf("%d bytes of unfinished statuses are kept", kept)
+	}
+}
--- a/plainservices/client.go
+++ b/plainservices/client.go
@@ -4,8 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -62,10 +60,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return catkinspindle.PlainReply{RateLimit: limit}, wire.FailureFromResponse(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = fmt.Errorf("reply is over %d bytes", maxReplyBytes)
-	}
+	body, err := c.wire.ReadBody(resp, maxReplyBytes)
 	if err != nil {
 		return catkinspindle.PlainReply{}, catkinspindle.Fail(catkinspindle.MayHaveRun, catkinspindle.ReasonBackendFailed, "reply: %w", err)
 	}
--- a/plainservices/client_test.go
+++ b/plainservices/client_test.go
@@ -143,3 +143,34 @@
 		})
 	}
 }
+
+// TestUnfinishedRepliesOfManyCalls guards against a limit for each reply only: replies without an
+// end in many calls at once must not fill the memory.
+func TestUnfinishedRepliesOfManyCalls(t *testing.T) {
+	const calls = 128
+	const size = 500 << 10
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, size)) // The client may have left.
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	client := plainservices.New(server.Listener.Addr().String(), wire.NewClient(time.Second, wire.WithoutKeepAlive()))
+	var group errgroup.Group
+	var ended atomic.Int64
+	for range calls {
+		group.Go(func() error {
+			_, err := client.Call(ctx, catkinspindle.PlainCall{Service: "s", Method: "m", Deadline: time.Now().Add(time.Minute)})
+			if ctx.Err() == nil && catkinspindle.AsFailure(err).Verdict == catkinspindle.MayHaveRun {
+				ended.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // It returns no error.
+	if kept := (calls - ended.Load()) * size; kept > 32<<20 {
+		t.Errorf("%d bytes of unfinished replies are kept", kept)
+	}
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,33 +14,45 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/readbudget"
 )
 
 // Client is an HTTP client with its own connection pool. It follows no redirects.
 type Client struct {
 	httpClient *http.Client
+	// reading bounds the answers that are being read; maxJSON is the maximum size of a JSON answer.
+	reading *readbudget.Budget
+	maxJSON int
 }
 
 const (
+	// maxReading bounds the buffers of all answers that a client is reading, in bytes: a fifth of
+	// the memory of the smallest VM.
+	maxReading = 32 << 20
 	// maxErrorBodyBytes is the maximum size of the body of an error response in bytes.
 	maxErrorBodyBytes = 64 << 10
-	// maxJSONBytes is the maximum size of a JSON response body, maxHeaderBytes that of the
+	// defaultMaxJSON is the maximum size of a JSON response body, maxHeaderBytes that of the
 	// headers of any response, both in bytes.
-	maxJSONBytes   = 16 << 20
+	defaultMaxJSON = 16 << 20
 	maxHeaderBytes = 64 << 10
 )
 
 // Option configures a client.
-type Option func(*http.Transport)
+type Option func(*Client, *http.Transport)
 
 // WithoutKeepAlive disables keep-alive, so that each request has its own connection. If
 // responses do not carry the ID of their request, a late duplicate of an earlier response
 // on a reused connection could be mistaken for the response to the next request.
-func WithoutKeepAlive() Option { return func(t *http.Transport) { t.DisableKeepAlives = true } }
+func WithoutKeepAlive() Option {
+	return func(_ *Client, t *http.Transport) { t.DisableKeepAlives = true }
+}
+
+// WithMaxJSON sets the maximum size of a JSON response body in bytes. The default is 16 MiB.
+func WithMaxJSON(n int) Option { return func(c *Client, _ *http.Transport) { c.maxJSON = n } }
 
 // WithConnector sets how connections are opened. The default dials directly.
 func WithConnector(c catkinspindle.Connector) Option {
-	return func(t *http.Transport) {
+	return func(_ *Client, t *http.Transport) {
 		t.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return c.Connect(ctx, address) }
 	}
 }
@@ -55,13 +66,14 @@
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	for _, opt := range opts {
-		opt(transport)
-	}
-	return &Client{httpClient: &http.Client{
+	c := &Client{reading: readbudget.New(maxReading), maxJSON: defaultMaxJSON, httpClient: &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
+	for _, opt := range opts {
+		opt(c, transport)
+	}
+	return c
 }
 
 // Do sends req once. An error is a catkinspindle.Failure: NotRun if no byte was written,
@@ -103,7 +115,8 @@
 
 // DoJSON sends a request and decodes the JSON response into v unless v is nil. For a status
 // other than 2xx it returns the reported failure, joined with ErrNotFound for 404 or
-// ErrConflict for 409. It also returns an error if the response exceeds 16 MiB.
+// ErrConflict for 409. It also returns an error if the response is over the limit of WithMaxJSON,
+// or if the client is reading too much at the same time.
 func (c *Client) DoJSON(ctx context.Context, method, url string, body io.Reader, v any) error {
 	req, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
@@ -120,14 +133,17 @@
 	if v == nil {
 		return nil
 	}
-	limited := &io.LimitedReader{R: resp.Body, N: maxJSONBytes}
-	if err := json.NewDecoder(limited).Decode(v); err != nil {
-		if limited.N <= 0 {
-			return fmt.Errorf("response body exceeds %d bytes", maxJSONBytes)
-		}
-		return err
-	}
-	return nil
+	limited := c.reading.Limit(resp.Body, c.maxJSON)
+	defer func() { _ = limited.Close() }() // It returns no error.
+	return json.NewDecoder(limited).Decode(v)
+}
+
+// ReadBody reads the body of a response of at most limit bytes. It returns an error if the client
+// is reading too much at the same time.
+func (c *Client) ReadBody(resp *http.Response, limit int) ([]byte, error) {
+	limited := c.reading.Limit(resp.Body, limit)
+	defer func() { _ = limited.Close() }() // It returns no error.
+	return io.ReadAll(limited)
 }
 
 func statusError(status int) error {
