End relays whose replica neither reads nor writes

Seen: nothing yet; a relay is one of 256 that a node may have, and each keeps what it could not pass on. Cause: while both copies block on the replica, one in a write and one in a read, the end of the tunnel is behind data that are not read. The relay stayed after its node had left, until the replica closed. Fix: the context of the stream is done when the node does not read any more. The connection to the replica then has a deadline of a second, for what the node has sent before it closed.

--- a/connector.go
+++ b/connector.go
@@ -37,7 +37,8 @@
 }
 
 // TunnelHandler accepts a tunnel, or refuses it with an error. decode decodes the request into its
-// argument; serve is called with the accepted tunnel.
+// argument; serve is called with the accepted tunnel. ctx is done when nothing more can be written
+// to the tunnel.
 type TunnelHandler func(ctx context.Context, decode func(any) error) (serve func(Tunnel), err error)
 
 // Tunnels opens tunnels to other nodes.
--- a/relays/connector_test.go
+++ b/relays/connector_test.go
@@ -204,3 +204,37 @@
 		t.Errorf("the node without paths relays %d connections", got)
 	}
 }
+
+// TestRelayToAReplicaThatReadsNothingEnds guards against relays that stay for good when the replica
+// neither reads nor writes and the node has closed its end.
+func TestRelayToAReplicaThatReadsNothingEnds(t *testing.T) {
+	nodes := startNodes(t, 2)
+	release := make(chan struct{})
+	address := startReplica(t, func(c *net.TCPConn) {
+		<-release
+		_ = c.Close()
+	})
+	t.Cleanup(func() { close(release) })
+	nodes[0].links.Set(links.RefuseNew)
+	c, err := connect(t, nodes[0], address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	sent := 0
+	for err == nil {
+		var n int
+		n, err = c.Write(make([]byte, 64<<10))
+		sent += n
+	}
+	if err := c.Close(); err != nil {
+		t.Log(err)
+	}
+	for deadline := time.Now().Add(testTimeout / 2); nodes[1].relays.Active() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the relay goes on after its node has closed it; %d bytes were sent", sent)
+		}
+	}
+}
--- a/relays/serve.go
+++ b/relays/serve.go
@@ -22,6 +22,8 @@
 	controlTimeout = 100 * time.Millisecond
 	// controlCount is the number of replicas that are tried for it.
 	controlCount = 3
+	// lastWrites is the time in which what a node has sent before it closed reaches the replica.
+	lastWrites = time.Second
 	// maxActive bounds the connections that are relayed at a time.
 	maxActive = 256
 
@@ -59,7 +61,7 @@
 	}
 	return func(t catkinspindle.Tunnel) {
 		defer c.active.Add(-1)
-		relay(t, conn)
+		relay(ctx, t, conn)
 	}, nil
 }
 
@@ -129,8 +131,11 @@
 }
 
 // relay passes bytes between a node and a replica until one of them closes. A connection that
-// broke must not look like one that ended.
-func relay(t catkinspindle.Tunnel, conn net.Conn) {
+// broke must not look like one that ended. ctx is done when the node does not read any more: it has
+// closed, which is not seen otherwise while the replica neither reads nor writes.
+func relay(ctx context.Context, t catkinspindle.Tunnel, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now().Add(lastWrites)) })
+	defer stop()
 	var group errgroup.Group
 	group.Go(func() error {
 		_, err := io.Copy(conn, t)
