Judge the load model by answered callers instead of value

The load tests added up a value for each answer, with weights per kind of request, size and lateness. A policy that leaves many callers unanswered passed when it answered the valuable ones.

They now count callers: in each kind more of them must be answered within the objective than under the baseline, over all seeds and with each seed over all kinds. The outcome also reports callers that were refused at first, how many of those were answered later, and quantiles of the time to the first event.

--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -16,7 +16,7 @@
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
-// kind is a class of requests. worth and worthLate are the value of an answer in time and late.
+// kind is a class of requests.
 type kind struct {
 	name               string
 	ratePerSecond      float64
@@ -25,15 +25,14 @@
 	answer             int
 	timeout, objective time.Duration
 	maxEventGap        time.Duration
-	worth, worthLate   float64
 }
 
 // The load of a pool of 21 replicas: many short prompts and a few that need seconds of
 // prefill, with alternating bursts of 9.5 s of short and of long prompts.
 var kinds = []kind{
-	{"short", 43, 4960, 23800, 1650, 10 * time.Second, 300 * time.Millisecond, 250 * time.Millisecond, 1.3, 0.33},
-	{"medium", 2.2, 45000, 110000, 1000, 10 * time.Second, 1500 * time.Millisecond, 600 * time.Millisecond, 4.2, 1},
-	{"long", 1.3, 154000, 700000, 850, 15 * time.Second, 3 * time.Second, time.Second, 21, 5.2},
+	{"short", 43, 4960, 23800, 1650, 10 * time.Second, 300 * time.Millisecond, 250 * time.Millisecond},
+	{"medium", 2.2, 45000, 110000, 1000, 10 * time.Second, 1500 * time.Millisecond, 600 * time.Millisecond},
+	{"long", 1.3, 154000, 700000, 850, 15 * time.Second, 3 * time.Second, time.Second},
 }
 
 const (
@@ -343,33 +342,41 @@
 // outcome counts the results of callers.
 type outcome struct {
 	callers, inTime, late, refused, deadline int
-	// worth is the value of the answers as a fraction of the largest possible value.
-	worth float64
+	// repeated counts the callers that were refused at first, answeredAgain those of them that
+	// were answered at a later try.
+	repeated, answeredAgain int
+	// median and p95 are quantiles of the time from arrival to the first event.
+	median, p95 time.Duration
 }
 
-// relativeValue is the value of an answer relative to its kind, which grows with the prompt's size.
-func (c *caller) relativeValue() float64 { return min(4, 0.3+0.7*float64(c.size)/c.kind.meanPrompt) }
-
 func summarize(list []*caller) outcome {
-	var o outcome
-	var got, all float64
+	o := outcome{callers: len(list)}
+	var first []time.Duration
 	for _, c := range list {
-		o.callers++
-		all += c.relativeValue() * c.kind.worth
+		if c.attempts > 1 {
+			o.repeated++
+		}
 		switch c.result {
 		case "in time":
 			o.inTime++
-			got += c.relativeValue() * c.kind.worth
 		case "late":
 			o.late++
-			got += c.relativeValue() * c.kind.worthLate
 		case "refused":
 			o.refused++
+			continue
 		default:
 			o.deadline++
+			continue
+		}
+		first = append(first, c.firstEvent.Sub(c.arrived))
+		if c.attempts > 1 {
+			o.answeredAgain++
 		}
 	}
-	o.worth = got / all
+	if n := len(first); n > 0 {
+		slices.Sort(first)
+		o.median, o.p95 = first[n/2], first[n*95/100]
+	}
 	return o
 }
 
@@ -380,6 +387,19 @@
 // answered returns the fraction of callers that got a complete answer.
 func answered(o outcome) float64 { return float64(o.inTime+o.late) / float64(max(1, o.callers)) }
 
+// checkMoreInTime checks that more callers of each kind are answered in time than under another
+// policy.
+func checkMoreInTime(t *testing.T, got, base []*caller) {
+	t.Helper()
+	for _, k := range kinds {
+		ours, theirs := summarize(ofKind(got, k.name)), summarize(ofKind(base, k.name))
+		t.Logf("%s: %+v, compared with %+v", k.name, ours, theirs)
+		if ours.inTime <= theirs.inTime {
+			t.Errorf("%s: %d of %d callers answered in time, compared with %d", k.name, ours.inTime, ours.callers, theirs.inTime)
+		}
+	}
+}
+
 // The planner serves the load better than a policy that only counts jobs in flight and
 // refuses none, at the usual rate and at 1.5 times it. At most 1 % of callers are accepted
 // and then time out at the deadline, and no kind or prompt size is starved.
@@ -390,8 +410,8 @@
 			var got, base []*caller
 			for seed := range uint64(seeds) {
 				planned, counted := run(planner(loadReplicas), seed, factor), run(newLeastInFlight(loadReplicas), seed, factor)
-				if ours, theirs := summarize(planned).worth, summarize(counted).worth; ours <= theirs {
-					t.Errorf("seed %d: worth %.3f, want more than the baseline's %.3f", seed, ours, theirs)
+				if ours, theirs := summarize(planned), summarize(counted); ours.inTime <= theirs.inTime {
+					t.Errorf("seed %d: %d of %d callers answered in time, want more than the baseline's %d", seed, ours.inTime, ours.callers, theirs.inTime)
 				}
 				got, base = append(got, planned...), append(base, counted...)
 			}
@@ -401,9 +421,9 @@
 			if ours.deadline > ours.callers/100 {
 				t.Errorf("%d of %d callers timed out at their deadline", ours.deadline, ours.callers)
 			}
+			checkMoreInTime(t, got, base)
 			for _, k := range kinds {
 				checkSizes(t, k.name, ofKind(got, k.name))
-				t.Logf("%s, least in flight: %+v", k.name, summarize(ofKind(base, k.name)))
 			}
 		})
 	}
@@ -439,9 +459,7 @@
 			ours, theirs := summarize(got), summarize(base)
 			t.Logf("divided         %+v", ours)
 			t.Logf("least in flight %+v", theirs)
-			if ours.worth <= theirs.worth {
-				t.Errorf("worth %.3f, want more than the baseline's %.3f", ours.worth, theirs.worth)
-			}
+			checkMoreInTime(t, got, base)
 			if ours.deadline > ours.callers/100 {
 				t.Errorf("%d of %d callers timed out at their deadline", ours.deadline, ours.callers)
 			}
@@ -573,9 +591,7 @@
 	ours, theirs := summarize(got), summarize(base)
 	t.Logf("uncoordinated %+v", ours)
 	t.Logf("few helpers   %+v", theirs)
-	if ours.worth <= theirs.worth {
-		t.Errorf("worth %.3f, with few helpers %.3f", ours.worth, theirs.worth)
-	}
+	checkMoreInTime(t, got, base)
 	if ours.deadline > ours.callers/50 {
 		t.Errorf("%d of %d callers timed out at their deadline", ours.deadline, ours.callers)
 	}
@@ -595,9 +611,9 @@
 	t.Cleanup(func() { model, kinds = usualModel, usualKinds })
 	model.Slots, model.Stride = 10, 80
 	kinds = []kind{
-		{"short", 29, 4960, 23800, 1880, 10 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond, 1.3, 0.33},
-		{"medium", 2.1, 45000, 110000, 1130, 10 * time.Second, 1500 * time.Millisecond, 800 * time.Millisecond, 3.1, 0.78},
-		{"long", 0.7, 220000, 700000, 940, 15 * time.Second, 4 * time.Second, 1200 * time.Millisecond, 26, 6.5},
+		{"short", 29, 4960, 23800, 1880, 10 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond},
+		{"medium", 2.1, 45000, 110000, 1130, 10 * time.Second, 1500 * time.Millisecond, 800 * time.Millisecond},
+		{"long", 0.7, 220000, 700000, 940, 15 * time.Second, 4 * time.Second, 1200 * time.Millisecond},
 	}
 }
 
@@ -618,8 +634,8 @@
 			ours, theirs := summarize(got), summarize(base)
 			t.Logf("fraction of the slots %+v", ours)
 			t.Logf("all slots             %+v", theirs)
-			if ours.worth <= theirs.worth {
-				t.Errorf("worth %.3f, with all slots filled %.3f", ours.worth, theirs.worth)
+			if ours.inTime <= theirs.inTime {
+				t.Errorf("%d callers answered in time, with all slots filled %d", ours.inTime, theirs.inTime)
 			}
 			if ours.deadline > ours.callers/100 {
 				t.Errorf("%d of %d callers timed out at their deadline", ours.deadline, ours.callers)
