Judge repeated requests like first ones

Callers saw: a request with less time than the longest Deadline-Ms that its route had seen was taken for a repeat, whether it was one or not. Its latency objective was cut by what it had supposedly waited, other limits applied, and it got a smaller group of replicas.

Cause: gateway/initial_timeouts.go guessed who repeats, Job.CallerRetried carried the guess, and the planner had limits of its own for it. Nothing on the wire tells a first try from a repeat.

Now a job states the route's objective and the time that the caller has left. Nodes of earlier versions still send the flag, which is ignored, and an objective that may be used up; such a job is limited by its deadline alone. A coordinator of an earlier version reads the objective as before.

TestCallersDifferInTimeLeftOnly fails before: the jobs of three callers with 9, 6 and 2 s differ in LatencyBudget and CallerRetried. It replaces TestRetriedJobIsPlaced, which demanded the preference.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -85,8 +85,6 @@
 	placingTime   time.Duration
 	// placedBy is the node that placed the last attempt.
 	placedBy string
-	// alreadyWaited is the time that the caller has waited in its earlier requests.
-	alreadyWaited time.Duration
 	// expectedFirstEvent is the placer's estimate of the time to the first event.
 	expectedFirstEvent time.Duration
 	// expectedWait and slowdown are the parts of expectedFirstEvent of a long prompt.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,10 +100,9 @@
 	metrics    metrics.Registry
 
 	// configExpected reports whether the first configuration is expected soon.
-	configExpected  func() bool
-	initialTimeouts *initialTimeouts
-	cooldown        *cooldown.Table
-	rateLimits      *ratelimits.Table
+	configExpected func() bool
+	cooldown       *cooldown.Table
+	rateLimits     *ratelimits.Table
 	// onRateLimit is called with a replica whose rate limit the placing node may not know.
 	onRateLimit func(catkinspindle.Replica)
 	// silence has the replicas that this node awaits data from.
@@ -156,7 +155,7 @@
 
 // New returns a Gateway.
 func New(v *view.View, p Placer, s Sender, m ReservationManager, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, initialTimeouts: newInitialTimeouts(), answerTimes: newAnswerTimes(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, silence: silence.New(), quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, answerTimes: newAnswerTimes(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, silence: silence.New(), quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
 	g.ended, g.endRequests = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(g)
@@ -254,7 +253,6 @@
 	x.service = routes.Target(route, rand.Float64())
 	x.replicas = state.Replicas
 	x.deadline = x.arrivedAt.Add(shorterTimeout(route.Timeout, x.envelope.Timeout))
-	x.alreadyWaited = g.initialTimeouts.alreadyWaited(route.Name, x.envelope.Timeout)
 	return nil
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -77,6 +77,7 @@
 	faultyReplicas []string
 	reported       []catkinspindle.AttemptResult
 	avoided        [][]string
+	jobs           []catkinspindle.Job
 	refusal        *catkinspindle.Placement
 	placed         int
 	cancelled      chan struct{}
@@ -118,6 +119,7 @@
 		w.view.ChangeReplicas([]view.Change{{Replica: catkinspindle.Replica{ID: w.leaving, Service: "s", Leaving: true}}}, at(2), time.Time{})
 	}
 	w.avoided = append(w.avoided, j.Avoid)
+	w.jobs = append(w.jobs, j)
 	names := w.preferred
 	if len(names) == 0 {
 		names = []string{"r1", "r2", "r3"}
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -31,18 +31,17 @@
 		avoid = slices.Concat(avoid, inCooldown)
 	}
 	p := x.gateway.placer.Place(ctx, catkinspindle.Job{
-		Service:       x.service,
-		PromptTokens:  x.envelope.PromptTokens,
-		AnswerTokens:  x.envelope.AnswerTokens,
-		TimeLeft:      x.deadline.Sub(now),
-		LatencyBudget: x.arrivedAt.Add(x.route.LatencyObjective - x.alreadyWaited).Sub(now),
-		CallerRetried: x.alreadyWaited > 0,
-		Replacement:   retry || x.unsent+x.unusable > 0,
-		MaxEventGap:   x.route.MaxEventGap,
-		Priority:      x.priority,
-		Avoid:         avoid,
-		MayBePartial:  retry || x.lastEventID != "",
-		DataCentre:    x.gateway.dataCentre,
+		Service:          x.service,
+		PromptTokens:     x.envelope.PromptTokens,
+		AnswerTokens:     x.envelope.AnswerTokens,
+		TimeLeft:         x.deadline.Sub(now),
+		LatencyObjective: x.route.LatencyObjective,
+		Replacement:      retry || x.unsent+x.unusable > 0,
+		MaxEventGap:      x.route.MaxEventGap,
+		Priority:         x.priority,
+		Avoid:            avoid,
+		MayBePartial:     retry || x.lastEventID != "",
+		DataCentre:       x.gateway.dataCentre,
 	})
 	if p.Refused() && p.Reason == catkinspindle.ReasonNoBackend && len(inCooldown) > 0 {
 		p.RetryAfter = max(p.RetryAfter, earliestEnd)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -29,7 +29,7 @@
 	x.updateMetrics(f, total)
 	attrs := []any{
 		events.RequestEnded.Attr(), "request", x.envelope.ID, "route", x.route.Name, "workspace", x.workspace,
-		"status", x.status, "total", total, "first", x.timeToFirstEvent, "expected-first", x.expectedFirstEvent, "expected-wait", x.expectedWait, "slowdown", x.slowdown, "first-limit", x.firstEventLimit, "longest-pause", x.longestEventGap, "helpers", x.helperCount, "delay", x.delay, "placing", x.placingTime, "placed-by", x.placedBy, "waits", x.envelope.Timeout, "spent", x.alreadyWaited, "attempts", x.sent, "replica", x.replica,
+		"status", x.status, "total", total, "first", x.timeToFirstEvent, "expected-first", x.expectedFirstEvent, "expected-wait", x.expectedWait, "slowdown", x.slowdown, "first-limit", x.firstEventLimit, "longest-pause", x.longestEventGap, "helpers", x.helperCount, "delay", x.delay, "placing", x.placingTime, "placed-by", x.placedBy, "waits", x.envelope.Timeout, "attempts", x.sent, "replica", x.replica,
 		"prompt-tokens", x.envelope.PromptTokens, "version", x.configVersion, "replicas-position", x.gateway.view.State().ReplicasAt,
 	}
 	if f == nil {
--- a/placement.go
+++ b/placement.go
@@ -15,9 +15,9 @@
 	AnswerTokens int `cbor:"4,keyasint"`
 	// TimeLeft is the time until the caller's deadline.
 	TimeLeft time.Duration `cbor:"5,keyasint"`
-	// LatencyBudget is the time until the route's latency objective; negative once it is
-	// missed.
-	LatencyBudget time.Duration `cbor:"6,keyasint"`
+	// LatencyObjective is the route's objective for the time to the first event, zero or less if
+	// there is none. Nodes of earlier versions subtract what the caller seems to have waited.
+	LatencyObjective time.Duration `cbor:"6,keyasint"`
 	// MaxEventGap is the objective for the longest gap between two events.
 	MaxEventGap time.Duration `cbor:"7,keyasint"`
 	// Priority is the rank of the request; 0 is the highest.
@@ -28,9 +28,6 @@
 	// MayBePartial is true when the caller may already have part of the answer: an earlier
 	// attempt was sent to a replica, or the caller resumes a stream.
 	MayBePartial bool `cbor:"10,keyasint,omitempty"`
-	// CallerRetried is true when the caller is probably retrying after a refusal: its
-	// timeout is shorter than the initial timeout of callers of this route.
-	CallerRetried bool `cbor:"12,keyasint,omitempty"`
 	// Replacement is true when an earlier placement of the request was accepted and failed: its
 	// replica was unreachable, failed or could not be used.
 	Replacement bool `cbor:"14,keyasint,omitempty"`
@@ -38,6 +35,7 @@
 	DataCentre string `cbor:"11,keyasint"`
 	// Pool is the subset of the service's replicas that the job may be placed on.
 	Pool Pool `cbor:"13,keyasint"`
+	// Key 12 is taken: nodes of earlier versions send a flag with it.
 }
 
 // Pool is one of the parts into which the replicas of a large service are divided so
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -39,8 +39,6 @@
 type caller struct {
 	prompt  int
 	arrived time.Time
-	// retried is true once the request was retried after a refusal.
-	retried bool
 	served  bool
 	evicted bool
 }
@@ -56,18 +54,17 @@
 	return d
 }
 
-// findOrAdd returns the caller of j and adds it unless j is a retry of a known one. Callers
+// findOrAdd returns the caller of j and adds it unless j is another attempt of a known one. Callers
 // are identified only by their prompt size.
 func (d *demand) findOrAdd(now time.Time, j catkinspindle.Job) *caller {
 	i, _ := slices.BinarySearchFunc(d.bySize, j.PromptTokens, comparePrompt)
 	for ; i < len(d.bySize) && d.bySize[i].prompt == j.PromptTokens; i++ {
 		known := d.bySize[i]
-		if j.MayBePartial || j.Replacement || (j.CallerRetried && !known.retried && !known.served) {
-			known.retried = known.retried || j.CallerRetried
+		if j.MayBePartial || j.Replacement {
 			return known
 		}
 	}
-	c := &caller{prompt: j.PromptTokens, arrived: now, retried: j.CallerRetried}
+	c := &caller{prompt: j.PromptTokens, arrived: now}
 	d.bySize = slices.Insert(d.bySize, i, c)
 	d.byTime = append(d.byTime, c)
 	return c
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -32,7 +32,7 @@
 	// shortest prefill time that is worth a helper.
 	MaxHelpers int
 	MinSegment time.Duration
-	// LateFactor is the multiple of a short job's LatencyBudget within which its first event
+	// LateFactor is the multiple of a short job's LatencyObjective within which its first event
 	// must be expected, with MinRetry added; otherwise the job is refused.
 	LateFactor float64
 	// MinRetry is the lower bound of Retry-After; NoReplicaRetry is sent when no replica
@@ -61,17 +61,9 @@
 	// bounds the time that it is then expected to wait.
 	BypassSegment time.Duration
 	BypassWait    time.Duration
-	// LongLimitShare is the fraction of a long job's LatencyBudget within which its first
-	// event must be expected; RetriedLimitShare is the fraction of the remaining time that
-	// replaces it for a job that was refused before and is retried.
-	LongLimitShare    float64
-	RetriedLimitShare float64
-	// BigReturn replaces RetriedLimitShare for prompts whose prefill takes BigRead or longer;
-	// from half of BigRead on, the fraction grows linearly towards it. The largest prompts
-	// are refused more often on their first attempt, and would otherwise be answered far
-	// less often than smaller ones.
-	BigRead   time.Duration
-	BigReturn float64
+	// LongLimitShare is the fraction of a long job's LatencyObjective within which its first
+	// event must be expected.
+	LongLimitShare float64
 	// The limit of a long prompt grows as its size is served less often than others: from the
 	// regular limit, when that size was served as often as all prompts with the same objective
 	// that arrived within DemandWindow, to UnderservedLimitShare of the remaining time, when it
@@ -82,9 +74,6 @@
 	UnderservedLimitShare float64
 	OverservedExponent    float64
 	DemandWindow          time.Duration
-	// ReturnShort bounds the expected time to the first event of a short job that was
-	// refused before and is retried.
-	ReturnShort time.Duration
 	// RetryShare is the fraction of the remaining time after which a refused caller is
 	// asked to retry: later than most bursts last, and early enough to be served.
 	RetryShare float64
@@ -125,14 +114,10 @@
 		BypassWait:            150 * time.Millisecond,
 		LongLimitShare:        0.8,
 		IdleWait:              200 * time.Millisecond,
-		RetriedLimitShare:     0.2,
-		BigRead:               8 * time.Second,
-		BigReturn:             0.5,
 		UnderservedRatio:      0.7,
 		UnderservedLimitShare: 0.6,
 		OverservedExponent:    4,
 		DemandWindow:          time.Minute,
-		ReturnShort:           600 * time.Millisecond,
 		RetryShare:            0.4,
 		Lead:                  25 * time.Millisecond,
 	}
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -117,7 +117,7 @@
 }
 
 // choosePacked returns the first replica in order that runs fewer than limit short jobs, is
-// expected to send the first event within 80 % of the job's LatencyBudget, and pauses for no
+// expected to send the first event within 80 % of the job's LatencyObjective, and pauses for no
 // longer than GapShare allows. It returns nil when there is none.
 func (p *Planner) choosePacked(now time.Time, usable []*replica, limit int, j catkinspindle.Job, m catkinspindle.EngineModel, prefill time.Duration) (*replica, time.Duration) {
 	for _, r := range usable {
@@ -125,7 +125,7 @@
 			continue
 		}
 		first, pause := p.estimateShort(now, m, r, prefill)
-		if first <= j.LatencyBudget*8/10 && float64(pause) <= p.policy.GapShare*float64(j.MaxEventGap) {
+		if first <= j.LatencyObjective*8/10 && float64(pause) <= p.policy.GapShare*float64(j.MaxEventGap) {
 			return r, first
 		}
 	}
@@ -180,10 +180,10 @@
 
 // shortLimit returns the longest time to the first event with which a short job is admitted.
 func (p *Planner) shortLimit(j catkinspindle.Job) time.Duration {
-	if j.CallerRetried || j.Replacement {
-		return min(j.TimeLeft, p.policy.ReturnShort)
+	if j.Replacement || j.LatencyObjective <= 0 {
+		return j.TimeLeft
 	}
-	return min(j.TimeLeft, time.Duration(p.policy.LateFactor*float64(max(j.LatencyBudget, 0)))+p.policy.MinRetry)
+	return min(j.TimeLeft, time.Duration(p.policy.LateFactor*float64(j.LatencyObjective))+p.policy.MinRetry)
 }
 
 // prefillGroup is a set of replicas that prefill one prompt together.
@@ -210,9 +210,9 @@
 // replicas are free.
 func (p *Planner) placeLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
 	demand := p.demandOf(j)
-	admissionLimit := p.longLimit(m, j, demand.relativeService(j.PromptTokens))
+	admissionLimit := p.longLimit(j, demand.relativeService(j.PromptTokens))
 	caller := demand.findOrAdd(now, j)
-	best, ok := p.bestGroup(now, j, m, usable, admissionLimit)
+	best, ok := p.bestGroup(now, j, m, usable)
 	if !ok {
 		return refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0).WithCheck(catkinspindle.CheckReaders, 0)
 	}
@@ -252,12 +252,12 @@
 
 // longLimit returns the longest expected time to the first event with which a long job is
 // admitted. It grows for a prompt whose size was served less often than others (relativeService
-// below 1), and the prompt may then miss its LatencyBudget: the largest prompts need most of it
+// below 1), and the prompt may then miss its LatencyObjective: the largest prompts need most of it
 // for their prefill, and would be refused whenever smaller ones, which can wait longer, are
 // placed first. A size that was served more often than others has a lower limit, which leaves
 // room for the others.
-func (p *Planner) longLimit(m catkinspindle.EngineModel, j catkinspindle.Job, relativeService float64) time.Duration {
-	limit := p.regularLongLimit(m, j)
+func (p *Planner) longLimit(j catkinspindle.Job, relativeService float64) time.Duration {
+	limit := p.regularLongLimit(j)
 	if relativeService > 1 && !j.Replacement {
 		return time.Duration(float64(limit) / math.Pow(relativeService, p.policy.OverservedExponent))
 	}
@@ -267,31 +267,26 @@
 }
 
 // regularLongLimit returns the limit for a size that is served as often as others. A job that would miss
-// its LatencyBudget is refused while others can meet theirs; a retried job has waited already
-// and is admitted whenever there is time, and one whose placement failed even later: it was
-// admitted once.
-func (p *Planner) regularLongLimit(m catkinspindle.EngineModel, j catkinspindle.Job) time.Duration {
+// its LatencyObjective is refused while others can meet theirs. One whose placement failed is
+// admitted while there is time: it was admitted once.
+func (p *Planner) regularLongLimit(j catkinspindle.Job) time.Duration {
 	if j.Replacement {
 		return time.Duration(p.policy.UnderservedLimitShare * float64(j.TimeLeft))
 	}
-	if j.CallerRetried {
-		grown := 2*float64(prefillTime(m, j.PromptTokens))/float64(p.policy.BigRead) - 1
-		share := p.policy.RetriedLimitShare + (p.policy.BigReturn-p.policy.RetriedLimitShare)*min(1, max(0, grown))
-		return time.Duration(share * float64(j.TimeLeft))
+	if j.LatencyObjective <= 0 {
+		return j.TimeLeft
 	}
-	return min(time.Duration(p.policy.LongLimitShare*float64(j.LatencyBudget)), j.TimeLeft)
+	return min(time.Duration(p.policy.LongLimitShare*float64(j.LatencyObjective)), j.TimeLeft)
 }
 
 // retryAfter returns when a refused caller should retry: after the prefill that is queued
-// now, and late enough for a burst to end and for the retry to be recognized by its
-// remaining time.
+// now, and late enough for a burst to end.
 func (p *Planner) retryAfter(j catkinspindle.Job, first time.Duration) time.Duration {
-	return max(p.policy.MinRetry, first-j.LatencyBudget, time.Duration(p.policy.RetryShare*float64(j.TimeLeft)))
+	return max(p.policy.MinRetry, first-j.LatencyObjective, time.Duration(p.policy.RetryShare*float64(j.TimeLeft)))
 }
 
-// bestGroup returns the group with the earliest first event. A retried job misses its
-// LatencyBudget in any case, and gets the smallest group within its limit.
-func (p *Planner) bestGroup(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, limit time.Duration) (prefillGroup, bool) {
+// bestGroup returns the group with the earliest first event.
+func (p *Planner) bestGroup(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) (prefillGroup, bool) {
 	prefill := prefillTime(m, j.PromptTokens)
 	candidates := make([]*replica, 0, len(usable))
 	for _, r := range usable {
@@ -312,9 +307,6 @@
 		}
 		free = p.segmentCandidates(now, candidates, reserved, segmentTime, free[:0])
 		g, ok := p.buildGroup(now, j, m, free, segmentTime, k)
-		if ok && j.CallerRetried && g.firstEvent <= limit {
-			return g, true
-		}
 		if ok && (!found || g.firstEvent < best.firstEvent) {
 			best, found = g, true
 		}
