Derive Retry-After from the work that is placed

Callers saw: whoever was refused for load was sent away for 0.4 of the time that it had left, however little work was queued, so that a caller with 10 s came back after 4 s (callers honour a third, 3.3 s) although it would have been accepted after 50 ms. All who were refused together came back together.

Cause: RetryShare, a share of the caller's time, was to outlast a burst and to let the system recognize the repeat. Floors of 100 ms (planner) and 250 ms (gateway) hid the rest.

Now Retry-After is the time until the wait is within the job's limit, or until the first answer ends where a slot or memory is lacking. Refused callers take turns, spaced by the time that the replicas need for each. The floor is one iteration of the engine, within which nothing changes. Retry-After is rounded up to the next 10 ms instead of to the nearest.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -26,8 +26,9 @@
 	// minStallTimeout is the minimum stall timeout: the time without an event after which
 	// the request is placed on another replica.
 	minStallTimeout = 1200 * time.Millisecond
-	// minRetryAfter is the minimum Retry-After.
-	minRetryAfter = 250 * time.Millisecond
+	// failedRetryAfter is the Retry-After when replicas failed: the interval between heartbeats,
+	// with which nodes tell each other what they know of replicas.
+	failedRetryAfter = 250 * time.Millisecond
 	// permitLifetime is how long after its time a request may be sent to a rate-limited replica.
 	permitLifetime = 300 * time.Millisecond
 	// maxRefusedTime is how long a stream that has begun is offered to the placer again when it is
@@ -198,7 +199,7 @@
 const reasonCallerGone catkinspindle.Reason = "caller-gone"
 
 func (x *exchange) fail(r catkinspindle.Reason, text string) *catkinspindle.Failure {
-	return catkinspindle.Fail(x.verdict, r, "%s", text).WithRetryAfter(minRetryAfter)
+	return catkinspindle.Fail(x.verdict, r, "%s", text).WithRetryAfter(failedRetryAfter)
 }
 
 // arrivals returns how often the request has been sent to a replica.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -388,7 +389,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if f.RetryAfter > 0 && s == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(100*f.RetryAfter.Seconds())/100, 'f', 2, 64))
 	}
 	text := string(f.Reason) + " (" + f.Verdict.String() + ")\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -163,7 +163,7 @@
 
 func (x *exchange) refusal(p catkinspindle.Placement) *catkinspindle.Failure {
 	f := catkinspindle.Fail(x.verdict, p.Reason, "no replica can serve the request in time")
-	return f.WithRetryAfter(max(minRetryAfter, p.RetryAfter))
+	return f.WithRetryAfter(p.RetryAfter)
 }
 
 // resolveHelpers returns the replicas that prefill parts of the prompt, with the memory
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -40,6 +40,8 @@
 	rateLimits    *ratelimits.Table
 	// rateTurns spaces the callers that are refused because of rate limits.
 	rateTurns map[servicePool]*pacing.Pacer
+	// turns has the time of the next turn in each queue of refused jobs.
+	turns map[turnQueue]time.Time
 }
 
 const (
@@ -77,6 +79,12 @@
 	}
 }
 
+// end returns when the answer is expected to end if each iteration decodes stride tokens of it.
+func (a *activeJob) end(stride int, iteration time.Duration) time.Time {
+	events := a.job.AnswerTokens/max(1, stride) + 1
+	return a.placedAt.Add(a.firstEvent + time.Duration(events)*iteration)
+}
+
 // hostTokens returns the memory that the job needs on its host, in tokens.
 func (a *activeJob) hostTokens() int {
 	need := a.job.PromptTokens + a.job.AnswerTokens
@@ -110,6 +118,7 @@
 		demands:       map[objective]*demand{},
 		rateLimits:    ratelimits.New(),
 		rateTurns:     map[servicePool]*pacing.Pacer{},
+		turns:         map[turnQueue]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -137,6 +146,7 @@
 	clear(p.replicaCounts)
 	clear(p.pools)
 	clear(p.rateTurns)
+	clear(p.turns)
 	for id, r := range list {
 		p.replicaCounts[r.Service]++
 		known, ok := p.replicas[id]
@@ -207,7 +217,7 @@
 		a.segmentTime /= time.Duration(len(a.helpers) + 1)
 	}
 	if !p.fitsInMemory(*model, a.replica, j) && !p.reserveOnHelpers(a, *model) {
-		return refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0)
+		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, *model, usable, nextEnd(now, *model, usable)), 0)
 	}
 	a.firstEvent = a.segmentTime + 2*iterationTime(*model, a.replica)
 	return p.accept(now, a, urgencyShort)
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -156,7 +156,7 @@
 			}
 			return
 		}
-		if latest := short(i).LatencyObjective + placement.DefaultPolicy().MinRetry; got.ExpectedFirstEvent > latest {
+		if latest := short(i).LatencyObjective + 100*time.Millisecond; got.ExpectedFirstEvent > latest {
 			t.Fatalf("prompt %d admitted with first event after %v, want %v at most", i, got.ExpectedFirstEvent, latest)
 		}
 	}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -33,11 +33,10 @@
 	MaxHelpers int
 	MinSegment time.Duration
 	// LateFactor is the multiple of a short job's LatencyObjective within which its first event
-	// must be expected, with MinRetry added; otherwise the job is refused.
+	// must be expected, with 100 ms added; otherwise the job is refused.
 	LateFactor float64
-	// MinRetry is the lower bound of Retry-After; NoReplicaRetry is sent when no replica
-	// is available.
-	MinRetry       time.Duration
+	// NoReplicaRetry is the RetryAfter when no replica is available: two heartbeats, in which a
+	// replica that another node knows becomes known to all.
 	NoReplicaRetry time.Duration
 	// OtherDataCentre is the cost of a replica in another data centre, in requests in
 	// flight.
@@ -74,9 +73,6 @@
 	UnderservedLimitShare float64
 	OverservedExponent    float64
 	DemandWindow          time.Duration
-	// RetryShare is the fraction of the remaining time after which a refused caller is
-	// asked to retry: later than most bursts last, and early enough to be served.
-	RetryShare float64
 	// IdleWait is the longest time to the start of a prefill with which the replicas
 	// count as idle.
 	IdleWait time.Duration
@@ -100,7 +96,6 @@
 		MaxHelpers:            15,
 		MinSegment:            20 * time.Millisecond,
 		LateFactor:            1,
-		MinRetry:              100 * time.Millisecond,
 		NoReplicaRetry:        500 * time.Millisecond,
 		OtherDataCentre:       0.5,
 		MemoryShare:           0.95,
@@ -118,7 +113,6 @@
 		UnderservedLimitShare: 0.6,
 		OverservedExponent:    4,
 		DemandWindow:          time.Minute,
-		RetryShare:            0.4,
 		Lead:                  25 * time.Millisecond,
 	}
 }
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -64,10 +64,10 @@
 		best, expected = p.chooseCheapest(now, hosts(usable), j, m, prefill)
 	}
 	if limit := p.shortLimit(j); expected > limit {
-		return refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected), expected).WithCheck(catkinspindle.CheckFirstEvent, limit)
+		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, expected-limit), expected).WithCheck(catkinspindle.CheckFirstEvent, limit)
 	}
 	if !meetsDeadline(m, best, j, expected) {
-		return refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, expected), expected).WithCheck(catkinspindle.CheckDeadline, j.TimeLeft)
+		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, 0), expected).WithCheck(catkinspindle.CheckDeadline, j.TimeLeft)
 	}
 	a := &activeJob{job: j, replica: best, placedAt: now, firstEvent: expected, segmentTime: prefill, helpers: p.leastPrefill(now, usable, best, k-1)}
 	return p.accept(now, a, urgencyShort)
@@ -183,7 +183,7 @@
 	if j.Replacement || j.LatencyObjective <= 0 {
 		return j.TimeLeft
 	}
-	return min(j.TimeLeft, time.Duration(p.policy.LateFactor*float64(j.LatencyObjective))+p.policy.MinRetry)
+	return min(j.TimeLeft, time.Duration(p.policy.LateFactor*float64(j.LatencyObjective))+100*time.Millisecond)
 }
 
 // prefillGroup is a set of replicas that prefill one prompt together.
@@ -214,13 +214,13 @@
 	caller := demand.findOrAdd(now, j)
 	best, ok := p.bestGroup(now, j, m, usable)
 	if !ok {
-		return refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, 0), 0).WithCheck(catkinspindle.CheckReaders, 0)
+		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, nextEnd(now, m, usable)), 0).WithCheck(catkinspindle.CheckReaders, 0)
 	}
 	// A job that would be late even on idle replicas gains nothing from a retry.
 	idle := best.segmentTime + iterationTime(m, best.host)*3/2 + p.policy.IdleWait
 	limit := min(j.TimeLeft, max(admissionLimit, idle))
 	if check, ok := p.failedCheck(m, best, j, limit); !ok {
-		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.firstEvent), best.firstEvent).WithCheck(check, limit))
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.firstEvent-limit), best.firstEvent).WithCheck(check, limit))
 	}
 	a := &activeJob{job: j, replica: best.host, helpers: best.helpers, placedAt: now, sendAt: best.start.Add(-p.policy.Lead), firstEvent: best.firstEvent, segmentTime: best.segmentTime}
 	if best.segmentTime <= p.policy.BypassSegment {
@@ -229,7 +229,7 @@
 		a.sendAt = now
 	}
 	if !p.fitsInMemory(m, best.host, j) && !p.reserveOnHelpers(a, m) {
-		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.retryAfter(j, best.firstEvent), best.firstEvent).WithCheck(catkinspindle.CheckMemory, limit))
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, max(best.wait, nextEnd(now, m, usable))), best.firstEvent).WithCheck(catkinspindle.CheckMemory, limit))
 	}
 	demand.recordServed(caller, true)
 	a.caller = caller
@@ -279,10 +279,55 @@
 	return min(time.Duration(p.policy.LongLimitShare*float64(j.LatencyObjective)), j.TimeLeft)
 }
 
-// retryAfter returns when a refused caller should retry: after the prefill that is queued
-// now, and late enough for a burst to end.
-func (p *Planner) retryAfter(j catkinspindle.Job, first time.Duration) time.Duration {
-	return max(p.policy.MinRetry, first-j.LatencyObjective, time.Duration(p.policy.RetryShare*float64(j.TimeLeft)))
+// turnQueue is a queue of refused jobs of a pool, short or long ones.
+type turnQueue struct {
+	servicePool
+	long bool
+}
+
+// turn returns after which time a refused job should be retried: once it is expected to wait for no
+// longer than its limit, which is after excess, and once the jobs that were refused before it have
+// had their turns. Turns are spaced by the time that the usable replicas together need for a job. A
+// job whose turn would come after its deadline takes none.
+func (p *Planner) turn(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, excess time.Duration) time.Duration {
+	queue := turnQueue{servicePool{j.Service, j.Pool}, p.isLong(m, j)}
+	// Nothing changes at the replicas within an iteration.
+	at := now.Add(max(excess, emptyIteration(m)))
+	if next := p.turns[queue]; next.After(at) {
+		at = next
+	}
+	if at.Sub(now) < j.TimeLeft {
+		p.turns[queue] = at.Add(occupancy(m, j) / time.Duration(len(usable)))
+	}
+	return at.Sub(now)
+}
+
+// nextEnd returns after which time the first answer is expected to end, which frees a slot and
+// memory. It returns zero if there is none.
+func nextEnd(now time.Time, m catkinspindle.EngineModel, usable []*replica) time.Duration {
+	var first time.Time
+	for _, r := range usable {
+		iteration := iterationTime(m, r)
+		for _, a := range r.jobs {
+			if end := a.end(m.Stride, iteration); first.IsZero() || end.Before(first) {
+				first = end
+			}
+		}
+	}
+	return max(0, first.Sub(now))
+}
+
+// emptyIteration returns the duration of an iteration of an engine with a single job.
+func emptyIteration(m catkinspindle.EngineModel) time.Duration {
+	return time.Duration(m.Stride) * (m.Step + m.PerSequence)
+}
+
+// occupancy returns how long j keeps a replica busy: its prefill, or its share of the iterations
+// that decode the answer if that is longer.
+func occupancy(m catkinspindle.EngineModel, j catkinspindle.Job) time.Duration {
+	events := (j.AnswerTokens + m.Stride - 1) / m.Stride
+	full := time.Duration(m.Stride) * (m.Step + time.Duration(m.Slots)*m.PerSequence)
+	return max(prefillTime(m, j.PromptTokens), time.Duration(events)*full/time.Duration(m.Slots))
 }
 
 // bestGroup returns the group with the earliest first event.
@@ -387,8 +432,7 @@
 		if a.job.MaxEventGap > p.policy.ShortMaxGap {
 			continue
 		}
-		events := a.job.AnswerTokens/max(1, r.stride) + 1
-		if end := a.placedAt.Add(a.firstEvent + time.Duration(events)*r.iteration); end.After(r.shortEnd) {
+		if end := a.end(r.stride, r.iteration); end.After(r.shortEnd) {
 			r.shortEnd = end
 		}
 	}
--- a/placement/rate_limits.go
+++ b/placement/rate_limits.go
@@ -108,7 +108,7 @@
 		p.rateTurns[key] = turns
 	}
 	wait := turns.Turn(now, next.Sub(now), total, j.TimeLeft)
-	return refusal(j, catkinspindle.ReasonOverload, max(p.policy.MinRetry, wait), wait).WithCheck(catkinspindle.CheckRateLimit, 0)
+	return refusal(j, catkinspindle.ReasonOverload, wait, wait).WithCheck(catkinspindle.CheckRateLimit, 0)
 }
 
 // accept commits a job that this planner has placed. If its replica is rate-limited, the job uses
