Limit the wait of long prompts instead of comparing their sizes

Callers saw: a prompt was refused because others of about its size had been served more often than the average of the last minute. The limit of such a size fell with the fourth power of its luck.

Cause: placement/demand.go steered all sizes to one share of answers, a feedback on the result. It had been added because a limit on the time to the first event refuses large prompts, whose own prefill takes most of it, at a wait at which small ones are accepted.

Now the wait is limited, not the time to the first event: half of the objective, which leaves the other half for the work, and as long again as the work takes.

Tests: TestEarlierCallersDoNotChangeDecision fails before. TestSizesAreAcceptedAtTheSameLoad replaces two tests that demanded the history.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -35,7 +35,6 @@
 	replicaCounts map[string]int
 	pools         map[servicePool][]*replica
 	jobs          map[string]*activeJob
-	demands       map[objective]*demand
 	lastExpiry    time.Time
 	rateLimits    *ratelimits.Table
 	// rateTurns spaces the callers that are refused because of rate limits.
@@ -67,7 +66,6 @@
 	// reservations is the memory that each helper reserves, in tokens; empty when the
 	// prompt fits into the replica's memory.
 	reservations []int
-	caller       *caller // Nil unless the job was placed as a long one.
 }
 
 // release releases the memory and the prefill time of the job on all its replicas.
@@ -115,7 +113,6 @@
 		replicaCounts: map[string]int{},
 		pools:         map[servicePool][]*replica{},
 		jobs:          map[string]*activeJob{},
-		demands:       map[objective]*demand{},
 		rateLimits:    ratelimits.New(),
 		rateTurns:     map[servicePool]*pacing.Pacer{},
 		turns:         map[turnQueue]time.Time{},
@@ -229,8 +226,7 @@
 	return catkinspindle.Placement{JobID: j.ID, Reason: reason, RetryAfter: retryAfter, ExpectedFirstEvent: expected}
 }
 
-// expire drops jobs whose deadline has passed, because the report of their end was lost, and
-// evicts the callers that are older than DemandWindow.
+// expire drops jobs whose deadline has passed, because the report of their end was lost.
 func (p *Planner) expire(now time.Time) {
 	if now.Sub(p.lastExpiry) < expireInterval {
 		return
@@ -242,9 +238,6 @@
 			a.release()
 		}
 	}
-	for _, d := range p.demands {
-		d.evict(now.Add(-p.policy.DemandWindow))
-	}
 }
 
 // usableReplicas returns the replicas that may take j or help with it: those of its pool that
@@ -344,7 +337,6 @@
 	if ok {
 		delete(p.jobs, e.JobID)
 		a.release()
-		p.recordCallerEnd(now, a, e.Outcome)
 	}
 	if faulty, found := p.replicas[e.FaultyReplica]; found && e.FaultyReplica != e.Replica {
 		faulty.health.suspect(now)
@@ -357,15 +349,6 @@
 	r.recordResult(now, e, a)
 }
 
-// recordCallerEnd records whether the caller of a long job was served. One that disconnected
-// before its deadline counts as served.
-func (p *Planner) recordCallerEnd(now time.Time, a *activeJob, outcome catkinspindle.Outcome) {
-	disconnected := outcome == catkinspindle.OutcomeGivenUp && now.Before(a.placedAt.Add(a.job.TimeLeft))
-	if a.caller != nil && !disconnected {
-		p.demandOf(a.job).recordServed(a.caller, outcome == catkinspindle.OutcomeDone)
-	}
-}
-
 // Adopt adds a job that another planner placed at now minus age, unless the job is tracked
 // already or its replica is unknown.
 func (p *Planner) Adopt(now time.Time, j catkinspindle.Job, placed catkinspindle.Placement, age time.Duration) {
@@ -389,11 +372,6 @@
 			}
 		}
 	}
-	if model := p.services[j.Service]; model != nil && p.isLong(*model, j) {
-		demand := p.demandOf(j)
-		a.caller = demand.findOrAdd(a.placedAt, j)
-		demand.recordServed(a.caller, true)
-	}
 	p.commit(now, a, 0)
 }
 
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -183,42 +183,59 @@
 	}
 }
 
-// While smaller prompts are admitted, some of the largest may miss their LatencyObjective, the first
-// after two refusals.
-func TestUnderservedSizeMayMissItsLatencyObjective(t *testing.T) {
-	p := planner(21)
-	for i := range 20 {
-		if got := p.Place(start, long(i, 100_000)); got.Refused() {
-			t.Fatalf("prompt %d of 100,000 tokens refused: %+v", i, got)
+// A prompt is judged by its own time and the load at the moment, whatever other callers with
+// prompts of its size got before.
+func TestEarlierCallersDoNotChangeDecision(t *testing.T) {
+	const earlier, loaded = 40, 12
+	later := start.Add(30 * time.Second)
+	decisions := func(p *placement.Planner, tokens int) (list []string) {
+		for i := range loaded {
+			p.Place(later, long(1000+i, 150_000))
 		}
+		for i := range 4 {
+			got := p.Place(later, long(2000+i, tokens))
+			list = append(list, fmt.Sprintf("refused: %t, first event after %v, limit %v", got.Refused(), got.ExpectedFirstEvent, got.FirstEventLimit))
+		}
+		return list
+	}
+	for _, tokens := range []int{60_000, 100_000, 150_000, 250_000, 500_000} {
+		t.Run(fmt.Sprintf("%d tokens", tokens), func(t *testing.T) {
+			p := planner(21)
+			for i := range earlier {
+				// Most prompts of 100,000 tokens are answered, hardly any of 500,000.
+				for k, size := range []int{100_000, 500_000} {
+					j := long(2*i+k, size)
+					if got := p.Place(start, j); !got.Refused() {
+						p.ReportResult(later, catkinspindle.AttemptResult{JobID: j.ID, Replica: got.Replica, Outcome: catkinspindle.OutcomeDone})
+					}
+				}
+				for k := range 3 {
+					j := long(10_000+3*i+k, 500_000)
+					j.TimeLeft = time.Second // Refused: too little time.
+					p.Place(start, j)
+				}
+			}
+			if diff := cmp.Diff(decisions(planner(21), tokens), decisions(p, tokens)); diff != "" {
+				t.Errorf("decisions without and with earlier callers (-without +with):\n%s", diff)
+			}
+		})
 	}
-	checkLargestAdmitted(t, p)
-	if got := p.Place(start, long(200, 90_000)); got.FirstEventLimit >= 3*time.Second {
-		t.Errorf("limit of a size that is not underserved is %v, want less than 3s", got.FirstEventLimit)
-	}
-}
-
-// A new coordinator compares sizes with the jobs that it has adopted.
-func TestUnderservedSizeIsKnownToNewCoordinator(t *testing.T) {
-	former, p := planner(21), planner(21)
-	for i := range 20 {
-		j := long(i, 100_000)
-		p.Adopt(start, j, former.Place(start, j), 0)
-	}
-	checkLargestAdmitted(t, p)
 }
 
-// checkLargestAdmitted checks that, of six prompts five times as large as those in flight, the
-// first is admitted after two refusals.
-func checkLargestAdmitted(t *testing.T, p *placement.Planner) {
-	t.Helper()
-	var refused []bool
-	for i := range 6 {
-		got := p.Place(start, long(100+i, 500_000+1000*i))
-		refused = append(refused, got.Refused())
-	}
-	if diff := cmp.Diff([]bool{true, true, false, true, true, false}, refused); diff != "" {
-		t.Errorf("refusals (-want +got):\n%s", diff)
+// A large prompt is accepted at every load at which a smaller one is accepted.
+func TestSizesAreAcceptedAtTheSameLoad(t *testing.T) {
+	for waiting := range 40 {
+		accepted := map[int]bool{}
+		for _, tokens := range []int{150_000, 300_000, 600_000} {
+			p := planner(21)
+			for i := range waiting {
+				p.Place(start, long(i, 150_000))
+			}
+			accepted[tokens] = !p.Place(start, long(1000, tokens)).Refused()
+		}
+		if accepted[150_000] && !(accepted[300_000] && accepted[600_000]) {
+			t.Errorf("accepted behind %d prompts of 150,000 tokens: %v", waiting, accepted)
+		}
 	}
 }
 
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -60,22 +60,6 @@
 	// bounds the time that it is then expected to wait.
 	BypassSegment time.Duration
 	BypassWait    time.Duration
-	// LongLimitShare is the fraction of a long job's LatencyObjective within which its first
-	// event must be expected.
-	LongLimitShare float64
-	// The limit of a long prompt grows as its size is served less often than others: from the
-	// regular limit, when that size was served as often as all prompts with the same objective
-	// that arrived within DemandWindow, to UnderservedLimitShare of the remaining time, when it
-	// was served UnderservedRatio times as often or less.
-	// The limit of a size that was served more often is divided by the ratio to the power of
-	// OverservedExponent.
-	UnderservedRatio      float64
-	UnderservedLimitShare float64
-	OverservedExponent    float64
-	DemandWindow          time.Duration
-	// IdleWait is the longest time to the start of a prefill with which the replicas
-	// count as idle.
-	IdleWait time.Duration
 	// Lead is how long before the prefilling replicas are free a request is sent: the
 	// network latency to the replica plus half of an engine iteration.
 	Lead time.Duration
@@ -84,35 +68,29 @@
 // DefaultPolicy returns the policy that docs/POLICY.md reports on.
 func DefaultPolicy() Policy {
 	return Policy{
-		PoolSize:              300,
-		PackedShare:           0.875,
-		SpreadShare:           0.6875,
-		LongPrefill:           400 * time.Millisecond,
-		ShortShare:            0.8,
-		ShortMaxGap:           400 * time.Millisecond,
-		GapShare:              0.8,
-		SplitPrefill:          30 * time.Millisecond,
-		PauseWeight:           8,
-		MaxHelpers:            15,
-		MinSegment:            20 * time.Millisecond,
-		LateFactor:            1,
-		NoReplicaRetry:        500 * time.Millisecond,
-		OtherDataCentre:       0.5,
-		MemoryShare:           0.95,
-		HostMemoryShare:       0.9,
-		MinReservation:        2000,
-		AloneHelpers:          15,
-		HoldCost:              time.Second,
-		OpenCost:              150 * time.Millisecond,
-		WriterCost:            150 * time.Millisecond,
-		BypassSegment:         100 * time.Millisecond,
-		BypassWait:            150 * time.Millisecond,
-		LongLimitShare:        0.8,
-		IdleWait:              200 * time.Millisecond,
-		UnderservedRatio:      0.7,
-		UnderservedLimitShare: 0.6,
-		OverservedExponent:    4,
-		DemandWindow:          time.Minute,
-		Lead:                  25 * time.Millisecond,
+		PoolSize:        300,
+		PackedShare:     0.875,
+		SpreadShare:     0.6875,
+		LongPrefill:     400 * time.Millisecond,
+		ShortShare:      0.8,
+		ShortMaxGap:     400 * time.Millisecond,
+		GapShare:        0.8,
+		SplitPrefill:    30 * time.Millisecond,
+		PauseWeight:     8,
+		MaxHelpers:      15,
+		MinSegment:      20 * time.Millisecond,
+		LateFactor:      1,
+		NoReplicaRetry:  500 * time.Millisecond,
+		OtherDataCentre: 0.5,
+		MemoryShare:     0.95,
+		HostMemoryShare: 0.9,
+		MinReservation:  2000,
+		AloneHelpers:    15,
+		HoldCost:        time.Second,
+		OpenCost:        150 * time.Millisecond,
+		WriterCost:      150 * time.Millisecond,
+		BypassSegment:   100 * time.Millisecond,
+		BypassWait:      150 * time.Millisecond,
+		Lead:            25 * time.Millisecond,
 	}
 }
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -198,6 +198,9 @@
 	slowdown         float64
 }
 
+// work returns the time from the begin of the prefill to the first event.
+func (g prefillGroup) work() time.Duration { return g.firstEvent - g.wait }
+
 // describe returns placed with the estimates of g.
 func (g prefillGroup) describe(placed catkinspindle.Placement) catkinspindle.Placement {
 	placed.ExpectedWait, placed.Slowdown = g.wait, g.slowdown
@@ -209,18 +212,14 @@
 // prompts that overlap would delay each other. The request is not sent before the
 // replicas are free.
 func (p *Planner) placeLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
-	demand := p.demandOf(j)
-	admissionLimit := p.longLimit(j, demand.relativeService(j.PromptTokens))
-	caller := demand.findOrAdd(now, j)
 	best, ok := p.bestGroup(now, j, m, usable)
 	if !ok {
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, nextEnd(now, m, usable)), 0).WithCheck(catkinspindle.CheckReaders, 0)
 	}
-	// A job that would be late even on idle replicas gains nothing from a retry.
-	idle := best.segmentTime + iterationTime(m, best.host)*3/2 + p.policy.IdleWait
-	limit := min(j.TimeLeft, max(admissionLimit, idle))
+	limit := waitLimit(j, best.work())
+	firstEventLimit := limit + best.work()
 	if check, ok := p.failedCheck(m, best, j, limit); !ok {
-		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.firstEvent-limit), best.firstEvent).WithCheck(check, limit))
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.wait-limit), best.firstEvent).WithCheck(check, firstEventLimit))
 	}
 	a := &activeJob{job: j, replica: best.host, helpers: best.helpers, placedAt: now, sendAt: best.start.Add(-p.policy.Lead), firstEvent: best.firstEvent, segmentTime: best.segmentTime}
 	if best.segmentTime <= p.policy.BypassSegment {
@@ -229,19 +228,18 @@
 		a.sendAt = now
 	}
 	if !p.fitsInMemory(m, best.host, j) && !p.reserveOnHelpers(a, m) {
-		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, max(best.wait, nextEnd(now, m, usable))), best.firstEvent).WithCheck(catkinspindle.CheckMemory, limit))
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, max(best.wait, nextEnd(now, m, usable))), best.firstEvent).WithCheck(catkinspindle.CheckMemory, firstEventLimit))
 	}
-	demand.recordServed(caller, true)
-	a.caller = caller
 	placed := p.accept(now, a, urgencyLong)
-	placed.FirstEventLimit = limit
+	placed.FirstEventLimit = firstEventLimit
 	return best.describe(placed)
 }
 
-// failedCheck returns the check that j fails on g, or ok when it passes all.
-func (p *Planner) failedCheck(m catkinspindle.EngineModel, g prefillGroup, j catkinspindle.Job, limit time.Duration) (failed catkinspindle.Check, ok bool) {
+// failedCheck returns the check that j fails on g, or ok when it passes all. waitLimit is how long
+// j may wait before its prefill begins.
+func (p *Planner) failedCheck(m catkinspindle.EngineModel, g prefillGroup, j catkinspindle.Job, waitLimit time.Duration) (failed catkinspindle.Check, ok bool) {
 	switch {
-	case g.firstEvent > limit:
+	case g.wait > waitLimit:
 		return catkinspindle.CheckFirstEvent, false
 	case !meetsDeadline(m, g.host, j, g.firstEvent):
 		return catkinspindle.CheckDeadline, false
@@ -250,33 +248,17 @@
 	}
 }
 
-// longLimit returns the longest expected time to the first event with which a long job is
-// admitted. It grows for a prompt whose size was served less often than others (relativeService
-// below 1), and the prompt may then miss its LatencyObjective: the largest prompts need most of it
-// for their prefill, and would be refused whenever smaller ones, which can wait longer, are
-// placed first. A size that was served more often than others has a lower limit, which leaves
-// room for the others.
-func (p *Planner) longLimit(j catkinspindle.Job, relativeService float64) time.Duration {
-	limit := p.regularLongLimit(j)
-	if relativeService > 1 && !j.Replacement {
-		return time.Duration(float64(limit) / math.Pow(relativeService, p.policy.OverservedExponent))
-	}
-	lack := min(1, max(0, (1-relativeService)/(1-p.policy.UnderservedRatio)))
-	highest := time.Duration(p.policy.UnderservedLimitShare * float64(j.TimeLeft))
-	return limit + time.Duration(lack*float64(max(0, highest-limit)))
-}
-
-// regularLongLimit returns the limit for a size that is served as often as others. A job that would miss
-// its LatencyObjective is refused while others can meet theirs. One whose placement failed is
-// admitted while there is time: it was admitted once.
-func (p *Planner) regularLongLimit(j catkinspindle.Job) time.Duration {
-	if j.Replacement {
-		return time.Duration(p.policy.UnderservedLimitShare * float64(j.TimeLeft))
-	}
-	if j.LatencyObjective <= 0 {
+// waitLimit returns how long a job may wait before its prefill begins: half of its objective, which
+// leaves the other half for the work, and as long as its own work takes until the first event. A
+// large prompt needs more replicas at the same time, which are free later than the first of them; it
+// is thus accepted at the same load as a small one. A longer queue would answer everybody late, and
+// hardly more callers. A job whose placement failed was accepted before, so only its deadline
+// limits it.
+func waitLimit(j catkinspindle.Job, work time.Duration) time.Duration {
+	if j.Replacement || j.LatencyObjective <= 0 {
 		return j.TimeLeft
 	}
-	return min(time.Duration(p.policy.LongLimitShare*float64(j.LatencyObjective)), j.TimeLeft)
+	return min(j.TimeLeft, j.LatencyObjective/2+work)
 }
 
 // turnQueue is a queue of refused jobs of a pool, short or long ones.
