Judge short prompts by their wait as well

Callers saw: a short prompt was refused when its first event was expected later than its objective and 100 ms, so one of 23,000 tokens was refused behind 200 prompts of 5,000 tokens at which one of 5,000 was accepted, and from 210 on one of 5,000 while one of 1,000 was. Replicas counted as full for it when 80 % of the objective were used up.

Cause: LateFactor and the figure of 80 % in choosePacked limited the whole time to the first event, and followed from no promise to callers.

Short prompts now have the limit of long ones: half of the objective and as long as their own work. A replica is packed while the first event is expected within the objective itself, or within the caller's time where the route has none.

Test: TestSizesAreAcceptedAtTheSameLoad has short prompts now and fails before.

--- a/placement/policy.go
+++ b/placement/policy.go
@@ -32,9 +32,6 @@
 	// shortest prefill time that is worth a helper.
 	MaxHelpers int
 	MinSegment time.Duration
-	// LateFactor is the multiple of a short job's LatencyObjective within which its first event
-	// must be expected, with 100 ms added; otherwise the job is refused.
-	LateFactor float64
 	// NoReplicaRetry is the RetryAfter when no replica is available: two heartbeats, in which a
 	// replica that another node knows becomes known to all.
 	NoReplicaRetry time.Duration
@@ -79,7 +76,6 @@
 		PauseWeight:     8,
 		MaxHelpers:      15,
 		MinSegment:      20 * time.Millisecond,
-		LateFactor:      1,
 		NoReplicaRetry:  500 * time.Millisecond,
 		OtherDataCentre: 0.5,
 		MemoryShare:     0.95,
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -63,8 +63,9 @@
 	if best == nil {
 		best, expected = p.chooseCheapest(now, hosts(usable), j, m, prefill)
 	}
-	if limit := p.shortLimit(j); expected > limit {
-		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, expected-limit), expected).WithCheck(catkinspindle.CheckFirstEvent, limit)
+	work := shortWork(m, best, prefill)
+	if limit := waitLimit(j, work); expected-work > limit {
+		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, expected-work-limit), expected).WithCheck(catkinspindle.CheckFirstEvent, limit+work)
 	}
 	if !meetsDeadline(m, best, j, expected) {
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, 0), expected).WithCheck(catkinspindle.CheckDeadline, j.TimeLeft)
@@ -111,21 +112,34 @@
 // in the iteration after the current one, and the pause that it causes there.
 func (p *Planner) estimateShort(now time.Time, m catkinspindle.EngineModel, r *replica, prefill time.Duration) (first, pause time.Duration) {
 	ahead, later := r.sentPrefill(now)
-	iteration := iterationTime(m, r)
 	jobPrefill := time.Duration(float64(prefill) * r.slowdown)
-	return ahead + jobPrefill + iteration*3/2, iteration + max(later, ahead+jobPrefill)
+	return ahead + shortWork(m, r, prefill), iterationTime(m, r) + max(later, ahead+jobPrefill)
+}
+
+// objective returns the time to the first event that j should have; all its time if its route has no
+// objective.
+func objective(j catkinspindle.Job) time.Duration {
+	if j.LatencyObjective <= 0 {
+		return j.TimeLeft
+	}
+	return j.LatencyObjective
+}
+
+// shortWork estimates the time from the begin of the prefill of a short job on r to its first event.
+func shortWork(m catkinspindle.EngineModel, r *replica, prefill time.Duration) time.Duration {
+	return time.Duration(float64(prefill)*r.slowdown) + iterationTime(m, r)*3/2
 }
 
 // choosePacked returns the first replica in order that runs fewer than limit short jobs, is
-// expected to send the first event within 80 % of the job's LatencyObjective, and pauses for no
-// longer than GapShare allows. It returns nil when there is none.
+// expected to send the first event within the job's LatencyObjective, and pauses for no longer than
+// GapShare allows. It returns nil when there is none.
 func (p *Planner) choosePacked(now time.Time, usable []*replica, limit int, j catkinspindle.Job, m catkinspindle.EngineModel, prefill time.Duration) (*replica, time.Duration) {
 	for _, r := range usable {
 		if r.shortJobs >= limit || len(r.jobs) >= m.Slots || !p.fitsInMemory(m, r, j) {
 			continue
 		}
 		first, pause := p.estimateShort(now, m, r, prefill)
-		if first <= j.LatencyObjective*8/10 && float64(pause) <= p.policy.GapShare*float64(j.MaxEventGap) {
+		if first <= objective(j) && float64(pause) <= p.policy.GapShare*float64(j.MaxEventGap) {
 			return r, first
 		}
 	}
@@ -178,14 +192,6 @@
 	return j.MayBePartial || first+time.Duration(max(0, events-1))*iterationTime(m, r) <= j.TimeLeft
 }
 
-// shortLimit returns the longest time to the first event with which a short job is admitted.
-func (p *Planner) shortLimit(j catkinspindle.Job) time.Duration {
-	if j.Replacement || j.LatencyObjective <= 0 {
-		return j.TimeLeft
-	}
-	return min(j.TimeLeft, time.Duration(p.policy.LateFactor*float64(j.LatencyObjective))+100*time.Millisecond)
-}
-
 // prefillGroup is a set of replicas that prefill one prompt together.
 type prefillGroup struct {
 	host        *replica
