Serve callers of a higher rank first

Callers saw no effect of the priority of their route or workspace: the gateway filled Job.Priority, and nothing read it. Replicas were told an urgency of 3 for short and 5 for long prompts, whatever their rank.

The interface promises a rank, with 0 the highest and a workspace's before the route's, and lets the system order what waits at a replica. Refused callers return in the order of their ranks: a turn comes after those of the same and of higher ranks.

A lower rank is not refused because a higher one may come: whom a replica runs is not stopped, and a lower rank is not starved.

Decisions among callers of one rank are the same as before; the mixed order of old and new coordinators at one replica lasts for an upgrade at most.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -217,7 +218,7 @@
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, *model, usable, nextEnd(now, *model, usable)), 0)
 	}
 	a.firstEvent = a.segmentTime + 2*iterationTime(*model, a.replica)
-	return p.accept(now, a, urgencyShort)
+	return p.accept(now, a, urgency(j, shortLength))
 }
 
 // refusal returns the refusal of j. expected is the estimated time to the first event that
@@ -226,7 +227,8 @@
 	return catkinspindle.Placement{JobID: j.ID, Reason: reason, RetryAfter: retryAfter, ExpectedFirstEvent: expected}
 }
 
-// expire drops jobs whose deadline has passed, because the report of their end was lost.
+// expire drops jobs whose deadline has passed, because the report of their end was lost, and turns
+// that have passed.
 func (p *Planner) expire(now time.Time) {
 	if now.Sub(p.lastExpiry) < expireInterval {
 		return
@@ -238,6 +240,7 @@
 			a.release()
 		}
 	}
+	maps.DeleteFunc(p.turns, func(_ turnQueue, next time.Time) bool { return next.Before(now) })
 }
 
 // usableReplicas returns the replicas that may take j or help with it: those of its pool that
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -24,12 +24,6 @@
 	return time.Duration(float64(m.Stride) * float64(step) * r.slowdown)
 }
 
-// Urgencies of jobs that are queued at a replica, by how long their prefill delays others.
-const (
-	urgencyShort = 3
-	urgencyLong  = 5
-)
-
 func (p *Planner) placePrompt(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
 	if p.isLong(m, j) {
 		return p.placeLong(now, j, m, usable)
@@ -71,7 +65,7 @@
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, 0), expected).WithCheck(catkinspindle.CheckDeadline, j.TimeLeft)
 	}
 	a := &activeJob{job: j, replica: best, placedAt: now, firstEvent: expected, segmentTime: prefill, helpers: p.leastPrefill(now, usable, best, k-1)}
-	return p.accept(now, a, urgencyShort)
+	return p.accept(now, a, urgency(j, shortLength))
 }
 
 // slotShare returns a fraction of an engine's slots, at least one.
@@ -236,7 +230,7 @@
 	if !p.fitsInMemory(m, best.host, j) && !p.reserveOnHelpers(a, m) {
 		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, max(best.wait, nextEnd(now, m, usable))), best.firstEvent).WithCheck(catkinspindle.CheckMemory, firstEventLimit))
 	}
-	placed := p.accept(now, a, urgencyLong)
+	placed := p.accept(now, a, urgency(j, longLength))
 	placed.FirstEventLimit = firstEventLimit
 	return best.describe(placed)
 }
@@ -267,22 +261,30 @@
 	return min(j.TimeLeft, j.LatencyObjective/2+work)
 }
 
-// turnQueue is a queue of refused jobs of a pool, short or long ones.
+// turnQueue is a queue of refused jobs of a pool, short or long ones of one rank.
 type turnQueue struct {
 	servicePool
-	long bool
+	long     bool
+	priority int
+}
+
+// precedes reports whether the jobs in q have their turns before those in other.
+func (q turnQueue) precedes(other turnQueue) bool {
+	return q.servicePool == other.servicePool && q.long == other.long && q.priority <= other.priority
 }
 
 // turn returns after which time a refused job should be retried: once it is expected to wait for no
-// longer than its limit, which is after excess, and once the jobs that were refused before it have
-// had their turns. Turns are spaced by the time that the usable replicas together need for a job. A
+// longer than its limit, which is after excess, and once the jobs of its rank and of higher ones that
+// were refused before it have had their turns. Turns are spaced by the time that the usable replicas together need for a job. A
 // job whose turn would come after its deadline takes none.
 func (p *Planner) turn(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, excess time.Duration) time.Duration {
-	queue := turnQueue{servicePool{j.Service, j.Pool}, p.isLong(m, j)}
+	queue := turnQueue{servicePool{j.Service, j.Pool}, p.isLong(m, j), j.Priority}
 	// Nothing changes at the replicas within an iteration.
 	at := now.Add(max(excess, emptyIteration(m)))
-	if next := p.turns[queue]; next.After(at) {
-		at = next
+	for other, next := range p.turns {
+		if other.precedes(queue) && next.After(at) {
+			at = next
+		}
 	}
 	if at.Sub(now) < j.TimeLeft {
 		p.turns[queue] = at.Add(occupancy(m, j) / time.Duration(len(usable)))
--- a/placement/retry_test.go
+++ b/placement/retry_test.go
@@ -97,3 +97,24 @@
 		t.Errorf("RetryAfter is %v, the first answer ends after %v", refused.RetryAfter, end)
 	}
 }
+
+// A job returns before those of lower rank that were refused earlier, and after those of its own rank.
+func TestTurnsAreTakenByRank(t *testing.T) {
+	p := planner(21)
+	ranked := func(i, rank int) catkinspindle.Job {
+		j := long(i, 150_000)
+		j.Priority = rank
+		return j
+	}
+	n, first := loadUntilRefused(t, p, func(i int) catkinspindle.Job { return ranked(i, 2) })
+	for i := range 9 {
+		p.Place(start, ranked(n+1+i, 2))
+	}
+	higher, lower := p.Place(start, ranked(n+10, 1)), p.Place(start, ranked(n+11, 3))
+	if higher.RetryAfter > first.RetryAfter {
+		t.Errorf("a job of a higher rank returns after %v, the first of a lower one after %v", higher.RetryAfter, first.RetryAfter)
+	}
+	if earliest := first.RetryAfter + time.Second; lower.RetryAfter < earliest {
+		t.Errorf("a job of a lower rank returns after %v, want %v or later", lower.RetryAfter, earliest)
+	}
+}
