Refuse requests whose callers leave before the first event

Callers saw: a request whose placement had failed was placed again behind any queue, although callers leave a stream that stays silent for two seconds, four times the objective or eight times the longest gap, whichever is longest. The answer was then read for nobody, ahead of other callers.

A job states what is left of it, counted from the arrival of the request or the last event, and is refused at once when its first event is expected later, with Retry-After when it would be in time. Nodes of earlier versions state none; their jobs are limited by their deadline, as before.

Tests: TestCallersWithoutPatienceAreRefusedAtOnce and TestPatienceIsCountedFromArrival need the new field and do not compile before.

--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -32,3 +33,18 @@
 		t.Errorf("jobs of callers with 9, 6 and 2 s (-want +got):\n%s", diff)
 	}
 }
+
+// The patience of a caller is counted from the arrival of its request.
+func TestPatienceIsCountedFromArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeCluster{steps: []scriptedAnswer{{err: catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "down"), headAfter: 300 * time.Millisecond}, okAnswer}}
+		serveRequest(newGateway(w, w, 9, true), "/patient/")
+		var got []time.Duration
+		for _, j := range w.jobs[:2] {
+			got = append(got, j.Patience)
+		}
+		if diff := cmp.Diff([]time.Duration{12 * time.Second, 11700 * time.Millisecond}, got); diff != "" {
+			t.Errorf("patience of two attempts (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -269,6 +269,7 @@
 	}
 	patient := route("/patient/", catkinspindle.RetryResume, true, 2)
 	patient.Timeout, patient.LatencyObjective, patient.MaxEventGap = 15*time.Second, 3*time.Second, time.Second
+	patient.Patience = 12 * time.Second
 	open := route("/open/", catkinspindle.RetryAlways, false, 2)
 	open.Public = true
 	brief := route("/brief/", catkinspindle.RetryAlways, false, 2)
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -38,6 +38,7 @@
 		LatencyObjective: x.route.LatencyObjective,
 		Replacement:      retry || x.unsent+x.unusable > 0,
 		MaxEventGap:      x.route.MaxEventGap,
+		Patience:         x.patience(now),
 		Priority:         x.priority,
 		Avoid:            avoid,
 		MayBePartial:     retry || x.lastEventID != "",
@@ -52,6 +53,19 @@
 	return p
 }
 
+// patience returns the time left until the caller leaves for want of an event; zero if that is
+// unknown.
+func (x *exchange) patience(now time.Time) time.Duration {
+	if x.route.Patience <= 0 {
+		return 0
+	}
+	since := x.arrivedAt
+	if !x.lastEventAt.IsZero() {
+		since = x.lastEventAt
+	}
+	return max(time.Millisecond, x.route.Patience-now.Sub(since))
+}
+
 // usableReplica returns the replica with the given ID, and whether this node may send it the
 // request: it is in this node's list, belongs to the service and is not leaving.
 func (x *exchange) usableReplica(id string) (catkinspindle.Replica, bool) {
--- a/placement.go
+++ b/placement.go
@@ -35,6 +35,9 @@
 	DataCentre string `cbor:"11,keyasint"`
 	// Pool is the subset of the service's replicas that the job may be placed on.
 	Pool Pool `cbor:"13,keyasint"`
+	// Patience is the time within which the caller must get an event, or it leaves; zero or less if
+	// that is unknown.
+	Patience time.Duration `cbor:"15,keyasint,omitempty"`
 	// Key 12 is taken: nodes of earlier versions send a flag with it.
 }
 
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -258,6 +258,40 @@
 	}
 }
 
+// A job is refused at once when its caller would leave before the first event, also when it was
+// accepted before.
+func TestCallersWithoutPatienceAreRefusedAtOnce(t *testing.T) {
+	for name, job := range map[string]catkinspindle.Job{"short": short(1000), "long": long(1000, 300_000)} {
+		for _, replacement := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, replacement %t", name, replacement), func(t *testing.T) {
+				p := planner(21)
+				for i := range 3 {
+					p.Place(start, long(i, 150_000))
+				}
+				job := job
+				job.Replacement = replacement
+				job.LatencyObjective = 5 * time.Second // Not what limits it.
+				expected := p.Place(start, job)
+				if expected.Refused() {
+					t.Fatalf("refused: %+v", expected)
+				}
+				p.ReportResult(start, catkinspindle.AttemptResult{JobID: job.ID, Replica: expected.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+				for patience, want := range map[time.Duration]catkinspindle.Check{
+					expected.ExpectedFirstEvent + time.Millisecond: "",
+					expected.ExpectedFirstEvent - time.Millisecond: catkinspindle.CheckFirstEvent,
+				} {
+					job.Patience = patience
+					got := p.Place(start, job)
+					if diff := cmp.Diff(want, got.Check); diff != "" {
+						t.Errorf("check of a caller that waits for %v, first event after %v (-want +got):\n%s", patience, got.ExpectedFirstEvent, diff)
+					}
+					p.ReportResult(start, catkinspindle.AttemptResult{JobID: job.ID, Replica: got.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+				}
+			})
+		}
+	}
+}
+
 // Jobs that end release their slot, memory and prefill time: no load is left afterwards.
 func TestNoLoadIsLeftAfterJobsEnd(t *testing.T) {
 	p := planner(8)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -58,8 +58,8 @@
 		best, expected = p.chooseCheapest(now, hosts(usable), j, m, prefill)
 	}
 	work := shortWork(m, best, prefill)
-	if limit := waitLimit(j, work); expected-work > limit {
-		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, expected-work-limit), expected).WithCheck(catkinspindle.CheckFirstEvent, limit+work)
+	if limit := firstEventLimit(j, work); expected > limit {
+		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, expected-limit), expected).WithCheck(catkinspindle.CheckFirstEvent, limit)
 	}
 	if !meetsDeadline(m, best, j, expected) {
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, 0), expected).WithCheck(catkinspindle.CheckDeadline, j.TimeLeft)
@@ -216,10 +216,9 @@
 	if !ok {
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, nextEnd(now, m, usable)), 0).WithCheck(catkinspindle.CheckReaders, 0)
 	}
-	limit := waitLimit(j, best.work())
-	firstEventLimit := limit + best.work()
+	limit := firstEventLimit(j, best.work())
 	if check, ok := p.failedCheck(m, best, j, limit); !ok {
-		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.wait-limit), best.firstEvent).WithCheck(check, firstEventLimit))
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.firstEvent-limit), best.firstEvent).WithCheck(check, limit))
 	}
 	a := &activeJob{job: j, replica: best.host, helpers: best.helpers, placedAt: now, sendAt: best.start.Add(-p.policy.Lead), firstEvent: best.firstEvent, segmentTime: best.segmentTime}
 	if best.segmentTime <= p.policy.BypassSegment {
@@ -228,18 +227,17 @@
 		a.sendAt = now
 	}
 	if !p.fitsInMemory(m, best.host, j) && !p.reserveOnHelpers(a, m) {
-		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, max(best.wait, nextEnd(now, m, usable))), best.firstEvent).WithCheck(catkinspindle.CheckMemory, firstEventLimit))
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, max(best.wait, nextEnd(now, m, usable))), best.firstEvent).WithCheck(catkinspindle.CheckMemory, limit))
 	}
 	placed := p.accept(now, a, urgency(j, longLength))
-	placed.FirstEventLimit = firstEventLimit
+	placed.FirstEventLimit = limit
 	return best.describe(placed)
 }
 
-// failedCheck returns the check that j fails on g, or ok when it passes all. waitLimit is how long
-// j may wait before its prefill begins.
-func (p *Planner) failedCheck(m catkinspindle.EngineModel, g prefillGroup, j catkinspindle.Job, waitLimit time.Duration) (failed catkinspindle.Check, ok bool) {
+// failedCheck returns the check that j fails on g, or ok when it passes all.
+func (p *Planner) failedCheck(m catkinspindle.EngineModel, g prefillGroup, j catkinspindle.Job, limit time.Duration) (failed catkinspindle.Check, ok bool) {
 	switch {
-	case g.wait > waitLimit:
+	case g.firstEvent > limit:
 		return catkinspindle.CheckFirstEvent, false
 	case !meetsDeadline(m, g.host, j, g.firstEvent):
 		return catkinspindle.CheckDeadline, false
@@ -248,17 +246,31 @@
 	}
 }
 
+// firstEventLimit returns the expected time to the first event up to which j is accepted: its wait
+// and its own work, which takes the given time from the begin of the prefill. It is never longer
+// than its caller waits for an event, and a job whose placement failed was accepted before, so that
+// nothing else limits it.
+func firstEventLimit(j catkinspindle.Job, work time.Duration) time.Duration {
+	if j.Replacement || j.LatencyObjective <= 0 {
+		return patience(j)
+	}
+	return min(patience(j), waitLimit(j, work)+work)
+}
+
 // waitLimit returns how long a job may wait before its prefill begins: half of its objective, which
-// leaves the other half for the work, and as long as its own work takes until the first event. A
-// large prompt needs more replicas at the same time, which are free later than the first of them; it
-// is thus accepted at the same load as a small one. A longer queue would answer everybody late, and
-// hardly more callers. A job whose placement failed was accepted before, so only its deadline
-// limits it.
+// leaves the other half for the work, and as long as its own work takes. A large prompt needs more
+// replicas at the same time, which are free later than the first of them; it is thus accepted at the
+// same load as a small one. A longer queue would answer everybody late, and hardly more callers.
 func waitLimit(j catkinspindle.Job, work time.Duration) time.Duration {
-	if j.Replacement || j.LatencyObjective <= 0 {
+	return j.LatencyObjective/2 + work
+}
+
+// patience returns the time within which the caller of j must get an event, or it leaves.
+func patience(j catkinspindle.Job) time.Duration {
+	if j.Patience <= 0 {
 		return j.TimeLeft
 	}
-	return min(j.TimeLeft, j.LatencyObjective/2+work)
+	return min(j.TimeLeft, j.Patience)
 }
 
 // turnQueue is a queue of refused jobs of a pool, short or long ones of one rank.
--- a/route.go
+++ b/route.go
@@ -38,6 +38,9 @@
 	LatencyObjective time.Duration `cbor:"Aim"`
 	// MaxEventGap is the objective for the longest gap between two events.
 	MaxEventGap time.Duration `cbor:"MaxPause"`
+	// Patience is the time without an event after which callers leave a stream, also before its first
+	// event; zero if it is unknown.
+	Patience time.Duration
 	// Priority is the rank of the requests; 0 is the highest.
 	Priority int
 	// MaxAttempts bounds the number of replicas that one request is sent to.
