Serve callers of a stopping node as long as they cache its address

A stopping node served new requests for 0.375 of the grace period. The figure is 3 s of 8 s: callers cache an address response for up to three lifetimes of 1 s. With another grace period or lifetime it followed from nothing: with 24 s callers would have been served for 9 s, 6 s longer than any of them has the address.

It now is three lifetimes, and at most half of the grace period, so that requests in flight have the other half. With 8 s and 1 s nothing changes. The shares of the later phases stay; they are margins before the kill.

The comment of awaitRunning states the caller's reason.

--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -342,8 +342,8 @@
 	return nil, standbyRetry
 }
 
-// awaitRunning gives the running attempt some time if what a has delivered may be worth less: an
-// error, or the end of a stream. It returns false if ctx has ended meanwhile.
+// awaitRunning gives the running attempt some time if a has delivered an error or the end of a
+// stream: the caller may still get an answer from the running one. It returns false if ctx has ended meanwhile.
 func (t *takeover) awaitRunning(ctx context.Context, a *attempt) bool {
 	if a.answer.Status/100 == 2 && (a.peeked == nil || a.peeked.err == nil) {
 		return true
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -37,9 +37,9 @@
 )
 
 const (
-	// addressLifetime is how long callers may cache an address response. Some cache it three
+	// maxAddressLifetime is how long callers may cache an address response. Some cache it three
 	// times as long, which must fit into the grace period of a planned stop.
-	addressLifetime = time.Second
+	maxAddressLifetime = time.Second
 	// joinBackoff is the mean backoff after a failed call while joining the fleet. Each
 	// backoff is jittered, so that nodes that start together do not retry together.
 	joinBackoff = 250 * time.Millisecond
@@ -143,15 +143,19 @@
 		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits, n.reportRateLimit),
 		gateway.WithQuarantine(n.quarantine, n.allowTrial), gateway.WithProber(n.replicas), gateway.WithBuffers(answers),
 		gateway.WithMaxBodyBytes(int64(bodyMemoryShare*float64(s.MemoryMB)*(1<<20))))
-	maxAge := addressLifetime
-	if s.MaxLifetime > 0 {
-		maxAge = min(maxAge, s.MaxLifetime)
-	}
-	addressHandler := addresses.New(n.liveNodes, n.isReady, maxAge, platform.EncodeAddresses)
+	addressHandler := addresses.New(n.liveNodes, n.isReady, addressLifetime(s), platform.EncodeAddresses)
 	n.listeners = newListeners(s, n.gateway, addressHandler, n.metrics, n.log)
 	return n
 }
 
+// addressLifetime returns how long callers may cache an address response of a node.
+func addressLifetime(s catkinspindle.GatewaySettings) time.Duration {
+	if s.MaxLifetime > 0 {
+		return min(maxAddressLifetime, s.MaxLifetime)
+	}
+	return maxAddressLifetime
+}
+
 // Start implements catkinspindle.Service. It returns once the listeners are open; the
 // node reports that it is not ready until it has joined the fleet and has a configuration.
 func (n *Node) Start(ctx context.Context) error {
--- a/gatewaynode/node_test.go
+++ b/gatewaynode/node_test.go
@@ -342,7 +342,7 @@
 // A stream that began before a planned stop must be delivered completely although it
 // outlasts the phase in which new requests are served.
 func TestStopWaitsForStreams(t *testing.T) {
-	// New requests are served for 4.5 s and streams may take 11 s; this one takes 5.4 s.
+	// New requests are served for 3 s and streams may take 11 s; this one takes 5.4 s.
 	s := start(t, 2, site.WithGrace(12*time.Second))
 	for _, r := range s.Pool {
 		r.SetFaults(replica.Faults{ExtraPause: 900 * time.Millisecond})
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -9,13 +9,15 @@
 	"github.com/catkinspindle/catkinspindle/platform"
 )
 
-// Shares of the grace period after which the phases of a stop end, so that the last
-// request has finished before the process is killed.
 const (
-	// acceptShare is the end of the phase in which new requests are served: callers
-	// cache an address response for up to three lifetimes. Later requests might not
-	// finish in time and are refused as not run.
-	acceptShare = 0.375
+	// cachedLifetimes is the number of lifetimes for which some callers cache an address response.
+	// New requests are served that long; later ones might not finish in time and are refused as
+	// not run.
+	cachedLifetimes = 3
+	// The shares are fractions of the grace period after which the phases of a stop end, so that
+	// the last request has finished before the process is killed. acceptShare leaves requests in
+	// flight at least half of it.
+	acceptShare = 0.5
 	// drainShare is the end of the phase in which requests in flight may finish.
 	drainShare = 0.92
 	// unregisterTimeout is the timeout for removing the registration.
@@ -43,7 +45,7 @@
 	drainEnd := startedAt.Add(time.Duration(drainShare * float64(grace)))
 	n.gateway.CloseConnections()
 	n.gateway.StopBy(drainEnd)
-	n.waitUntil(ctx, startedAt.Add(time.Duration(acceptShare*float64(grace))), nil)
+	n.waitUntil(ctx, startedAt.Add(min(cachedLifetimes*addressLifetime(n.settings), time.Duration(acceptShare*float64(grace)))), nil)
 	n.gateway.RefuseRequests()
 	if n.isJoined() {
 		n.unregister(ctx)
