Send callers without enough time back when replicas are free

Callers saw: a prompt that was refused because its answer would not end before the deadline was told to return after one iteration, 44 ms, although it would wait for the same replicas again. A caller that was still there after its patience was taken for gone, and its request refused.

Retry-After is now the wait for the replicas.

Tests, failing before: TestRefusedCallerReturnsAfterWait, TestPatienceIsCountedFromArrival with 13 s.

--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -34,17 +34,20 @@
 	}
 }
 
-// The patience of a caller is counted from the arrival of its request.
+// The patience of a caller is counted from the arrival of its request. A caller that is still there
+// when it was expected to have left is not refused for that.
 func TestPatienceIsCountedFromArrival(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := &fakeCluster{steps: []scriptedAnswer{{err: catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "down"), headAfter: 300 * time.Millisecond}, okAnswer}}
-		serveRequest(newGateway(w, w, 9, true), "/patient/")
-		var got []time.Duration
-		for _, j := range w.jobs[:2] {
-			got = append(got, j.Patience)
-		}
-		if diff := cmp.Diff([]time.Duration{12 * time.Second, 11700 * time.Millisecond}, got); diff != "" {
-			t.Errorf("patience of two attempts (-want +got):\n%s", diff)
-		}
-	})
+	for spent, left := range map[time.Duration]time.Duration{300 * time.Millisecond: 11700 * time.Millisecond, 13 * time.Second: 0} {
+		t.Run(spent.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				down := scriptedAnswer{err: catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "down"), headAfter: spent}
+				w := &fakeCluster{steps: []scriptedAnswer{down, okAnswer}}
+				serveRequest(newGateway(w, w, 9, true), "/patient/")
+				got := []time.Duration{w.jobs[0].Patience, w.jobs[len(w.jobs)-1].Patience}
+				if diff := cmp.Diff([]time.Duration{12 * time.Second, left}, got); diff != "" {
+					t.Errorf("patience of the first and the last attempt (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
 }
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -54,7 +54,7 @@
 }
 
 // patience returns the time left until the caller leaves for want of an event; zero if that is
-// unknown.
+// unknown, as for one that is still there although it was expected to leave.
 func (x *exchange) patience(now time.Time) time.Duration {
 	if x.route.Patience <= 0 {
 		return 0
@@ -63,7 +63,7 @@
 	if !x.lastEventAt.IsZero() {
 		since = x.lastEventAt
 	}
-	return max(time.Millisecond, x.route.Patience-now.Sub(since))
+	return max(0, x.route.Patience-now.Sub(since))
 }
 
 // usableReplica returns the replica with the given ID, and whether this node may send it the
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -62,7 +62,7 @@
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, expected-limit), expected).WithCheck(catkinspindle.CheckFirstEvent, limit)
 	}
 	if !meetsDeadline(m, best, j, expected) {
-		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, 0), expected).WithCheck(catkinspindle.CheckDeadline, j.TimeLeft)
+		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, expected-work), expected).WithCheck(catkinspindle.CheckDeadline, j.TimeLeft)
 	}
 	a := &activeJob{job: j, replica: best, placedAt: now, firstEvent: expected, segmentTime: prefill, helpers: p.leastPrefill(now, usable, best, k-1)}
 	return p.accept(now, a, urgency(j, shortLength))
@@ -217,8 +217,11 @@
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, nextEnd(now, m, usable)), 0).WithCheck(catkinspindle.CheckReaders, 0)
 	}
 	limit := firstEventLimit(j, best.work())
-	if check, ok := p.failedCheck(m, best, j, limit); !ok {
-		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.firstEvent-limit), best.firstEvent).WithCheck(check, limit))
+	if best.firstEvent > limit {
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.firstEvent-limit), best.firstEvent).WithCheck(catkinspindle.CheckFirstEvent, limit))
+	}
+	if !meetsDeadline(m, best.host, j, best.firstEvent) {
+		return best.describe(refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, best.wait), best.firstEvent).WithCheck(catkinspindle.CheckDeadline, limit))
 	}
 	a := &activeJob{job: j, replica: best.host, helpers: best.helpers, placedAt: now, sendAt: best.start.Add(-p.policy.Lead), firstEvent: best.firstEvent, segmentTime: best.segmentTime}
 	if best.segmentTime <= p.policy.BypassSegment {
@@ -234,18 +237,6 @@
 	return best.describe(placed)
 }
 
-// failedCheck returns the check that j fails on g, or ok when it passes all.
-func (p *Planner) failedCheck(m catkinspindle.EngineModel, g prefillGroup, j catkinspindle.Job, limit time.Duration) (failed catkinspindle.Check, ok bool) {
-	switch {
-	case g.firstEvent > limit:
-		return catkinspindle.CheckFirstEvent, false
-	case !meetsDeadline(m, g.host, j, g.firstEvent):
-		return catkinspindle.CheckDeadline, false
-	default:
-		return "", true
-	}
-}
-
 // firstEventLimit returns the expected time to the first event up to which j is accepted: its wait
 // and its own work, which takes the given time from the begin of the prefill. It is never longer
 // than its caller waits for an event, and a job whose placement failed was accepted before, so that
@@ -285,10 +276,10 @@
 	return q.servicePool == other.servicePool && q.long == other.long && q.priority <= other.priority
 }
 
-// turn returns after which time a refused job should be retried: once it is expected to wait for no
-// longer than its limit, which is after excess, and once the jobs of its rank and of higher ones that
-// were refused before it have had their turns. Turns are spaced by the time that the usable replicas together need for a job. A
-// job whose turn would come after its deadline takes none.
+// turn returns after which time a refused job should be retried: not before excess, by which time the
+// work ahead of it has ended as far as the job requires, nor before the turns of the jobs of its rank
+// and of higher ones that were refused earlier. Turns are spaced by the time that the usable replicas
+// together need for a job. A job whose turn would come after its deadline takes none.
 func (p *Planner) turn(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, excess time.Duration) time.Duration {
 	queue := turnQueue{servicePool{j.Service, j.Pool}, p.isLong(m, j), j.Priority}
 	// Nothing changes at the replicas within an iteration.
--- a/placement/retry_test.go
+++ b/placement/retry_test.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// A job whose answer would not end in time, because it has to wait, returns when the replicas are free.
+func TestRefusedCallerReturnsAfterWait(t *testing.T) {
+	p := planner(21)
+	for i := range 8 {
+		p.Place(start, long(i, 150_000))
+	}
+	j := long(100, 150_000)
+	first := p.Place(start, j)
+	p.ReportResult(start, catkinspindle.AttemptResult{JobID: j.ID, Replica: first.Replica, Outcome: catkinspindle.OutcomeGivenUp})
+	j.TimeLeft = first.ExpectedFirstEvent + 300*time.Millisecond // 16 events take longer.
+	got := p.Place(start, j)
+	if diff := cmp.Diff(catkinspindle.CheckDeadline, got.Check); diff != "" {
+		t.Fatalf("check (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(got.ExpectedWait, got.RetryAfter); diff != "" {
+		t.Errorf("RetryAfter (-want +got):\n%s", diff)
+	}
+}
+
 // A job that finds no free slot returns when the first answer is expected to end.
 func TestRefusedCallerReturnsWhenAnswerEnds(t *testing.T) {
 	// 320 tokens in events of 51 take seven iterations of at least 43 ms.
