Send nothing to evacuated data centres and limit cold replicas

Cause: neither evacuations nor cold replicas were known.

Change: hubs watch the evacuations in the store, if the settings state a bound for them, and pass them on with the heartbeats; every node keeps the newest state that it knows. Replicas of an evacuated data centre get no request, segment, reservation or retry. A cold replica has the rate limit that its service states, which the existing authority over rate limits shares among the nodes; after an evacuation all count as cold for the time that their service states.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -164,11 +164,11 @@
 	seq := c.seq.Add(1)
 	j.ID = fmt.Sprintf("%s%d", c.jobIDPrefix, seq)
 	// Jobs without a prompt are placed locally, unless all nodes share a rate limit.
-	coordinated := j.PromptTokens > 0 || c.planner.HasRateLimits(j.Service)
+	now := time.Now()
+	coordinated := j.PromptTokens > 0 || c.planner.HasRateLimits(now, j.Service)
 	if coordinated {
 		j.Pool = c.planner.Pool(j.Service, seq)
 	}
-	now := time.Now()
 	p, withoutCoordinator := c.place(ctx, now, j, coordinated)
 	if !p.Refused() {
 		o := openJob{job: j, placement: p, at: now, coordinated: coordinated}
--- a/coordinator/rate_limits.go
+++ b/coordinator/rate_limits.go
@@ -31,7 +31,7 @@
 // replicas.
 func (c *Coordinator) placeLocally(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
 	var authority catkinspindle.RateAuthority
-	if c.planner.HasRateLimits(j.Service) {
+	if c.planner.HasRateLimits(now, j.Service) {
 		authority = c.authority(j.Pool)
 	}
 	return c.planner.PlaceWith(now, j, authority)
--- a/events/event.go
+++ b/events/event.go
@@ -28,6 +28,7 @@
 	RateLimited         Event = 4006
 	ReplicaCrashed      Event = 4007
 	Quarantined         Event = 4008
+	EvacuationChanged   Event = 4009
 	RequestEnded        Event = 5003
 	ConnectionClosed    Event = 5004
 	HandlerPanicked     Event = 5005
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -875,6 +875,42 @@
 	})
 }
 
+// An evacuation that one hub learns of reaches all nodes with the heartbeats, also while the store
+// refuses the other hubs, and a restarted hub learns of it from the others. An older state does not
+// end it.
+func TestEvacuationReachesAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, nodes := startNodes(t, 8)
+		defer stopNodes(t, nodes)
+		for i, n := range nodes {
+			n.setStoreLost(i != 2)
+			n.view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r", DataCentre: "x", Incarnation: 1}}, position(7), time.Time{})
+		}
+		time.Sleep(2 * time.Second)
+		check := func(when string, want ...string) {
+			t.Helper()
+			for _, n := range nodes {
+				s := n.view.State()
+				if diff := cmp.Diff(want, s.Evacuations.DataCentres); diff != "" {
+					t.Errorf("%s, %s: evacuated (-want +got):\n%s", when, n.self.Name, diff)
+				}
+				if s.Replicas["r"].Accepts() != (len(want) == 0) {
+					t.Errorf("%s, %s: r accepts requests: %t", when, n.self.Name, len(want) > 0)
+				}
+			}
+		}
+		nodes[2].view.SetEvacuations(catkinspindle.NewEvacuations(position(9), "x"))
+		time.Sleep(time.Second)
+		check("after the evacuation", "x")
+		nodes[1].view.SetEvacuations(catkinspindle.NewEvacuations(position(8)))
+		time.Sleep(time.Second)
+		check("after an older list", "x")
+		nodes[2].view.SetEvacuations(catkinspindle.NewEvacuations(position(12)))
+		time.Sleep(time.Second)
+		check("after its end")
+	})
+}
+
 // After a restart of all nodes, which start from an old list and register in another order,
 // all agree on the coordinator after two heartbeats and keep it.
 func TestAllNodesAgreeAfterRestart(t *testing.T) {
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -34,6 +34,8 @@
 	// Quarantine and QuarantineSince are the same for the requests that crash replicas.
 	Quarantine      *catkinspindle.QuarantineReport `cbor:"12,keyasint,omitempty"`
 	QuarantineSince uint64                          `cbor:"13,keyasint,omitempty"`
+	// EvacuationsAt is the position of the evacuations that the sender knows.
+	EvacuationsAt catkinspindle.Position `cbor:"14,keyasint,omitzero"`
 }
 
 func (m heartbeatRequest) forHub(isCoordinator bool) heartbeatRequest {
@@ -46,6 +48,8 @@
 	Routing  *snapshot `cbor:"1,keyasint,omitempty"`
 	Replicas *snapshot `cbor:"2,keyasint,omitempty"`
 	From     string    `cbor:"4,keyasint"`
+	// Evacuations are the evacuated data centres.
+	Evacuations *catkinspindle.Evacuations `cbor:"5,keyasint,omitempty"`
 }
 
 // heartbeatResponse is a hub's response to a heartbeat.
@@ -78,6 +82,10 @@
 	// Quarantine is the same for the requests that crash replicas.
 	Quarantine   *catkinspindle.QuarantineReport `cbor:"15,keyasint,omitempty"`
 	QuarantineAt uint64                          `cbor:"16,keyasint,omitempty"`
+	// EvacuationsAt is the position of the evacuations that the hub knows, Evacuations those if they
+	// are newer than the sender's.
+	EvacuationsAt catkinspindle.Position     `cbor:"17,keyasint,omitzero"`
+	Evacuations   *catkinspindle.Evacuations `cbor:"18,keyasint,omitempty"`
 }
 
 // Wake sends the next heartbeat at once.
@@ -139,6 +147,7 @@
 	f.recordDepartures(a.Departures, to.Name)
 	f.recordRateLimits(a.RateLimits, to.Name)
 	f.recordQuarantine(a.Quarantine)
+	f.recordEvacuations(a.Evacuations, to.Name)
 	f.catchUp(ctx, to, a)
 	f.pushState(ctx, to, a)
 }
@@ -176,7 +185,12 @@
 	if state.ReplicasAt.After(response.ReplicasAt) && len(state.Replicas) > 0 {
 		update.Replicas = f.snapshotOrNil(f.replicas())
 	}
-	if update.Routing == nil && update.Replicas == nil {
+	// Nodes of earlier versions never state the position.
+	stated := response.EvacuationsAt != catkinspindle.Position{}
+	if (stated || len(state.Evacuations.DataCentres) > 0) && state.Evacuations.At.After(response.EvacuationsAt) {
+		update.Evacuations = &state.Evacuations
+	}
+	if update.Routing == nil && update.Replicas == nil && update.Evacuations == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -207,6 +221,7 @@
 	if update.Replicas != nil {
 		f.adoptReplicas(*update.Replicas, update.From)
 	}
+	f.recordEvacuations(update.Evacuations, update.From)
 	return nil, nil
 }
 
@@ -237,6 +252,10 @@
 		}
 	}
 	a := heartbeatResponse{From: f.self, ReplicasAt: state.ReplicasAt, ConfigVersion: state.Version(), StoreLost: f.stopWatch == nil || f.storeLost()}
+	a.EvacuationsAt = state.Evacuations.At
+	if state.Evacuations.At.After(m.EvacuationsAt) {
+		a.Evacuations = &state.Evacuations
+	}
 	a.Unregistered = f.lacksRegistration(m.From)
 	for _, n := range f.members {
 		if time.Since(n.lastWatchReport) < livenessTimeout {
@@ -277,6 +296,13 @@
 	return sent
 }
 
+// recordEvacuations adopts the evacuations that another node has sent, if any.
+func (f *Fleet) recordEvacuations(e *catkinspindle.Evacuations, source string) {
+	if e != nil && f.view.SetEvacuations(catkinspindle.NewEvacuations(e.At, e.DataCentres...)) {
+		f.log.Info("evacuated data centres changed", events.EvacuationChanged.Attr(), "data-centres", e.DataCentres, "position", e.At, "source", source)
+	}
+}
+
 // recordDepartures marks replicas as leaving whose departures another node has sent.
 func (f *Fleet) recordDepartures(list []catkinspindle.Departure, source string) {
 	for _, d := range list {
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -68,7 +68,7 @@
 	upToDate := f.updateInformedSince(now, informed)
 	f.probeStore(ctx, now, isHub)
 	needed := isHub || f.substituteWatcher || (!hubResponds && now.Sub(f.started) > firstResponseTimeout)
-	message := heartbeatRequest{From: f.self, SubstituteWatcher: f.substituteWatcher && f.stopWatch != nil && !f.storeLost(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt}
+	message := heartbeatRequest{From: f.self, SubstituteWatcher: f.substituteWatcher && f.stopWatch != nil && !f.storeLost(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt, EvacuationsAt: f.view.State().Evacuations.At}
 	lost := append(f.updateLiveness(now, currentHubs, isHub), f.replaced...)
 	f.replaced = nil
 	coordinator := f.coordinator.Name
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -67,11 +67,11 @@
 }
 
 // usableReplica returns the replica with the given ID, and whether this node may send it the
-// request: it is in this node's list, belongs to the service and is not leaving.
+// request: it is in this node's list, belongs to the service and accepts further requests.
 func (x *exchange) usableReplica(id string) (catkinspindle.Replica, bool) {
 	x.replicas = x.gateway.view.State().Replicas
 	r, ok := x.replicas[id]
-	return r, ok && r.Service == x.service && !r.Leaving
+	return r, ok && r.Service == x.service && r.Accepts()
 }
 
 // beginAttempt repeats the check of usableReplica right before a request is sent and also
@@ -79,14 +79,18 @@
 // after the cooldown.
 func (x *exchange) beginAttempt(p catkinspindle.Placement) (replica catkinspindle.Replica, probe, ok bool) {
 	replica, ok = x.usableReplica(p.Replica)
-	if _, limited := x.gateway.rateLimits.Limit(replica); limited && time.Now().After(p.PermitEnd) {
+	now := time.Now()
+	if _, cold := replica.ColdLimit(now); cold && now.After(p.PermitEnd) {
+		return replica, false, false
+	}
+	if _, limited := x.gateway.rateLimits.Limit(replica); limited && now.After(p.PermitEnd) {
 		// The limit was stated after the placement, the placing node does not know it, or the
 		// permit is too old: requests sent long after their time could pile up.
 		x.gateway.onRateLimit(replica)
 		return replica, false, false
 	}
 	if ok {
-		ok, probe = x.gateway.cooldown.Admit(time.Now(), replica)
+		ok, probe = x.gateway.cooldown.Admit(now, replica)
 	}
 	return replica, probe, ok
 }
@@ -190,9 +194,9 @@
 	)
 	for i, id := range p.Helpers {
 		r, ok := x.replicas[id]
-		if !ok || r.Service != x.service || r.Leaving {
+		if !ok || r.Service != x.service || !r.Accepts() {
 			if len(p.HelperTokens) > 0 {
-				return nil, nil, &reservations.Failure{Replica: id, Err: errors.New("helper is unknown to this node or leaving")}
+				return nil, nil, &reservations.Failure{Replica: id, Err: errors.New("helper is unknown to this node, leaving or evacuated")}
 			}
 			continue
 		}
--- a/gateway_settings.go
+++ b/gateway_settings.go
@@ -27,6 +27,9 @@
 	ReplicaHeartbeat time.Duration
 	// MaxLifetime bounds how long callers may cache an address answer.
 	MaxLifetime time.Duration
+	// EvacuationTime is the time within which an evacuation of a data centre must take effect on
+	// every node; zero if the platform has none.
+	EvacuationTime time.Duration
 }
 
 // RetryBudget is the retry budget of one service over all nodes: within any
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -33,13 +33,13 @@
 // of every other list, so that any of them replaces a stale one.
 var stalePosition = catkinspindle.Position{Revision: 1}
 
-// readInitialView reads the configuration and the replicas from the store, possibly stale, so
+// readInitialView reads the configuration, the evacuations and the replicas from the store, possibly stale, so
 // that the node can serve before it has joined the fleet and gets current state from the
 // other nodes.
 func (n *Node) readInitialView(ctx context.Context) error {
 	var (
-		group            errgroup.Group
-		config, replicas []catkinspindle.StoredObject
+		group                         errgroup.Group
+		config, replicas, evacuations []catkinspindle.StoredObject
 	)
 	listStale := func(kind string, target *[]catkinspindle.StoredObject) {
 		group.Go(func() (err error) {
@@ -49,24 +49,35 @@
 	}
 	listStale(platform.ConfigKind, &config)
 	listStale(platform.ReplicasKind, &replicas)
+	if n.settings.EvacuationTime > 0 {
+		listStale(platform.EvacuationsKind, &evacuations)
+	}
 	if err := group.Wait(); err != nil {
 		return fmt.Errorf("read configuration and replicas: %w", err)
 	}
 	replicasSink{n}.Reset(replicas, stalePosition, time.Time{})
+	if n.settings.EvacuationTime > 0 {
+		newEvacuationsSink(n).Reset(evacuations, stalePosition, time.Time{})
+	}
 	configSink{n}.Reset(config, stalePosition, time.Time{})
 	return nil
 }
 
-// watchStore watches the configuration, the replicas and the nodes in the store until ctx is
-// done.
+// watchStore watches the configuration, the replicas, the nodes and the evacuations in the store
+// until ctx is done.
 func (n *Node) watchStore(ctx context.Context) {
 	n.log.Info("watching the store", events.PlatformRegained.Attr())
-	var group errgroup.Group
-	for _, follower := range []*watch.Follower{
+	followers := []*watch.Follower{
 		watch.New(n.store, platform.ConfigKind, platform.WatchWait, n.log, configSink{n}, watch.WithOutageFunc(n.outages.outageFunc(platform.ConfigKind)), watch.WithMinInterval(minWatchInterval)),
 		watch.New(n.store, platform.ReplicasKind, platform.WatchWait, n.log, replicasSink{n}, watch.WithOutageFunc(n.outages.outageFunc(platform.ReplicasKind)), watch.WithMinInterval(minWatchInterval)),
 		watch.New(n.store, platform.NodesKind, platform.NodesWatchWait, n.log, nodesSink{n}, watch.WithMinInterval(minNodesWatchInterval)),
-	} {
+	}
+	if n.settings.EvacuationTime > 0 {
+		wait := min(platform.EvacuationsWatchWait, n.settings.EvacuationTime/2)
+		followers = append(followers, watch.New(n.store, platform.EvacuationsKind, wait, n.log, newEvacuationsSink(n), watch.WithOutageFunc(n.outages.outageFunc(platform.EvacuationsKind)), watch.WithMinInterval(minWatchInterval)))
+	}
+	var group errgroup.Group
+	for _, follower := range followers {
 		group.Go(func() error {
 			follower.Run(ctx)
 			return nil
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -34,10 +34,12 @@
 	// replicaCounts counts the replicas by service; pools caches the replicas of each pool
 	// that has been used.
 	replicaCounts map[string]int
-	pools         map[servicePool][]*replica
-	jobs          map[string]*activeJob
-	lastExpiry    time.Time
-	rateLimits    *ratelimits.Table
+	// coldUntil is when the last cold replica of a service that limits their rate is no longer cold.
+	coldUntil  map[string]time.Time
+	pools      map[servicePool][]*replica
+	jobs       map[string]*activeJob
+	lastExpiry time.Time
+	rateLimits *ratelimits.Table
 	// rateTurns spaces the callers that are refused because of rate limits.
 	rateTurns map[servicePool]*pacing.Pacer
 	// turns has the time of the next turn in each queue of refused jobs.
@@ -112,6 +114,7 @@
 		services:      map[string]*catkinspindle.EngineModel{},
 		replicas:      map[string]*replica{},
 		replicaCounts: map[string]int{},
+		coldUntil:     map[string]time.Time{},
 		pools:         map[servicePool][]*replica{},
 		jobs:          map[string]*activeJob{},
 		rateLimits:    ratelimits.New(),
@@ -142,11 +145,15 @@
 	next := make(map[string]*replica, len(list))
 	p.sorted = p.sorted[:0]
 	clear(p.replicaCounts)
+	clear(p.coldUntil)
 	clear(p.pools)
 	clear(p.rateTurns)
 	clear(p.turns)
 	for id, r := range list {
 		p.replicaCounts[r.Service]++
+		if r.ColdPerSecond > 0 && r.ColdUntil.After(p.coldUntil[r.Service]) {
+			p.coldUntil[r.Service] = r.ColdUntil
+		}
 		known, ok := p.replicas[id]
 		if !ok || !known.SameIncarnation(r) {
 			known = newReplica(r)
@@ -244,13 +251,13 @@
 }
 
 // usableReplicas returns the replicas that may take j or help with it: those of its pool that
-// are neither leaving, nor listed in j.Avoid, nor suspected, and the suspected ones when none
+// accept requests and are neither listed in j.Avoid nor suspected, and the suspected ones when none
 // of the others may host j.
 func (p *Planner) usableReplicas(now time.Time, j catkinspindle.Job, authority catkinspindle.RateAuthority) []*replica {
 	p.expire(now)
 	var good, suspected []*replica
 	for _, r := range p.poolReplicas(servicePool{j.Service, j.Pool}) {
-		if r.Leaving || slices.Contains(j.Avoid, r.ID) {
+		if !r.Accepts() || slices.Contains(j.Avoid, r.ID) {
 			continue
 		}
 		r.updateRate(now, p.rateLimits, authority)
--- a/placement/rate_limits.go
+++ b/placement/rate_limits.go
@@ -23,15 +23,13 @@
 	return p.placePrompt(now, j, *model, usable)
 }
 
-// HasRateLimits reports whether a replica of the service states a rate limit.
-func (p *Planner) HasRateLimits(service string) bool {
+// HasRateLimits reports whether a replica of the service states a rate limit or has one because it
+// is cold.
+func (p *Planner) HasRateLimits(now time.Time, service string) bool {
 	ids := p.rateLimits.Limited()
-	if len(ids) == 0 {
-		return false
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(ids, func(id string) bool {
+	return now.Before(p.coldUntil[service]) || slices.ContainsFunc(ids, func(id string) bool {
 		r, ok := p.replicas[id]
 		return ok && r.Service == service
 	})
@@ -51,6 +49,9 @@
 // updateRate sets ratePerSecond and mayHost.
 func (r *replica) updateRate(now time.Time, limits *ratelimits.Table, authority catkinspindle.RateAuthority) {
 	perSecond, limited := limits.Limit(r.Replica)
+	if cold, ok := r.ColdLimit(now); ok && (!limited || cold < perSecond) {
+		perSecond, limited = cold, true
+	}
 	if limited && !r.limited {
 		r.pacer.StartAt(now, perSecond)
 	}
--- a/route.go
+++ b/route.go
@@ -63,6 +63,10 @@
 	MaxConnections int
 	// Engine is nil for a service that runs no model.
 	Engine *EngineModel
+	// ColdTime is how long a replica stays cold after its start, ColdPerSecond the rate of requests
+	// from all nodes together that a cold replica tolerates; zero if it tolerates any.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 }
 
 // EngineModel holds the parameters of a model engine from which prefill and decode
@@ -126,6 +130,26 @@
 	Leaving    bool   `cbor:"6,keyasint,omitempty"`
 	// Incarnation distinguishes processes that share an ID and increases with each restart.
 	Incarnation int64 `cbor:"7,keyasint"`
+	// ColdLeft is how much longer the replica stays cold, as its entry states.
+	ColdLeft time.Duration `cbor:"8,keyasint,omitempty"`
+	// The fields below are this node's own and are not sent to others. ColdUntil is when the replica is
+	// no longer cold, ColdPerSecond the ColdPerSecond of its service. Evacuated is true while its data
+	// centre is evacuated.
+	ColdUntil     time.Time `cbor:"-" json:"-"`
+	ColdPerSecond float64   `cbor:"-" json:"-"`
+	Evacuated     bool      `cbor:"-" json:"-"`
+}
+
+// Accepts reports whether r may be sent further requests: it is neither leaving nor evacuated.
+func (r Replica) Accepts() bool { return !r.Leaving && !r.Evacuated }
+
+// ColdLimit returns the rate of requests that r tolerates while it is cold. ok is false when it is
+// not cold or tolerates any rate.
+func (r Replica) ColdLimit(now time.Time) (perSecond float64, ok bool) {
+	if r.ColdPerSecond <= 0 || !now.Before(r.ColdUntil) {
+		return 0, false
+	}
+	return r.ColdPerSecond, true
 }
 
 // SameIncarnation reports whether r and o are the same incarnation of a replica.
--- a/view/view.go
+++ b/view/view.go
@@ -22,6 +22,8 @@
 	// Replicas are the known replicas by ID, as of the store position ReplicasAt.
 	Replicas   map[string]catkinspindle.Replica
 	ReplicasAt catkinspindle.Position
+	// Evacuations are the evacuated data centres.
+	Evacuations catkinspindle.Evacuations
 }
 
 // Version returns the version of the configuration; zero when none is known.
@@ -54,6 +56,8 @@
 	// removed, by ID.
 	onProbation map[string]probationEntry
 	probation   time.Duration
+	// coldUntil is when replicas that were cold are no longer so, by ID.
+	coldUntil map[string]coldPeriod
 }
 
 // Option configures a View.
@@ -89,6 +93,7 @@
 		removed:      map[string]removal{},
 		onProbation:  map[string]probationEntry{},
 		probation:    defaultProbation,
+		coldUntil:    map[string]coldPeriod{},
 	}
 	for _, opt := range opts {
 		opt(v)
@@ -326,6 +331,7 @@
 }
 
 func (v *View) publish(s *State) {
+	v.markReplicas(time.Now(), s)
 	v.state.Store(s)
 	if v.onChange != nil {
 		v.onChange(s)
