Let jobs wait at the coordinator in order

Cause: each verdict was given at the arrival, so that callers were refused who could have been answered, and a job that had been accepted was never put behind one with less time.

Change: a job for which there is no room waits at the coordinator. It begins by rank and by what it costs the others (package schedule); its node holds a call for it. Nodes of earlier versions get a verdict at once.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -66,6 +66,11 @@
 	mu       sync.Mutex
 	openJobs map[string]openJob
 	pending  map[catkinspindle.Pool]updates
+
+	// waitMu is locked before mu. room is signalled when there may be room for waiting jobs.
+	waitMu  sync.Mutex
+	waiters map[string]*waiter
+	room    chan struct{}
 }
 
 // updates holds the updates that a coordinator has not received yet: jobs that were
@@ -124,6 +129,8 @@
 		wake:          make(chan struct{}, 1),
 		openJobs:      map[string]openJob{},
 		pending:       map[catkinspindle.Pool]updates{},
+		waiters:       map[string]*waiter{},
+		room:          make(chan struct{}, 1),
 
 		authority:   func(catkinspindle.Pool) catkinspindle.RateAuthority { return catkinspindle.FullRateAuthority() },
 		rateLimits:  ratelimits.New(),
@@ -150,6 +157,10 @@
 		c.reportLoop(ctx)
 		return nil
 	})
+	c.group.Go(func() error {
+		c.dispatchLoop(ctx)
+		return nil
+	})
 	return nil
 }
 
@@ -159,7 +170,8 @@
 	return c.group.Wait()
 }
 
-// Place sets the ID of j, chooses its pool and returns its placement.
+// Place sets the ID of j, chooses its pool and returns its placement, after j has waited for room if it
+// has to.
 func (c *Coordinator) Place(ctx context.Context, j catkinspindle.Job) catkinspindle.Placement {
 	seq := c.seq.Add(1)
 	j.ID = fmt.Sprintf("%s%d", c.jobIDPrefix, seq)
@@ -171,11 +183,12 @@
 	}
 	p, withoutCoordinator := c.place(ctx, now, j, coordinated)
 	if !p.Refused() {
-		o := openJob{job: j, placement: p, at: now, coordinated: coordinated}
+		placedAt := time.Now()
+		o := openJob{job: j.After(placedAt.Sub(now)), placement: p, at: placedAt, coordinated: coordinated}
 		c.mu.Lock()
 		c.openJobs[j.ID] = o
 		if withoutCoordinator {
-			c.queueUpdate(j.Pool, func(n *updates) { n.OpenJobs = append(n.OpenJobs, o.record(now)) })
+			c.queueUpdate(j.Pool, func(n *updates) { n.OpenJobs = append(n.OpenJobs, o.record(placedAt)) })
 		}
 		c.mu.Unlock()
 		if withoutCoordinator {
@@ -204,19 +217,38 @@
 	}
 }
 
-// place returns a placement, and whether it was made without the coordinator,
-// which must then be informed.
-func (c *Coordinator) place(ctx context.Context, now time.Time, j catkinspindle.Job, coordinated bool) (p catkinspindle.Placement, withoutCoordinator bool) {
+// place returns the placement of a job that was created at a time, and whether it was made without the
+// coordinator, which must then be informed.
+func (c *Coordinator) place(ctx context.Context, created time.Time, j catkinspindle.Job, coordinated bool) (p catkinspindle.Placement, withoutCoordinator bool) {
+	for {
+		now := time.Now()
+		current := j.After(now.Sub(created))
+		p, withoutCoordinator = c.placeOnce(ctx, now, current, coordinated)
+		if !p.Waiting {
+			return p, withoutCoordinator
+		}
+	}
+}
+
+// placeOnce is place for one call to the coordinator, after which the job may still wait.
+func (c *Coordinator) placeOnce(ctx context.Context, now time.Time, j catkinspindle.Job, coordinated bool) (p catkinspindle.Placement, withoutCoordinator bool) {
 	coord, ok := c.coordinatorOf(j.Pool)
+	if coordinated {
+		j.Hold = hold(j)
+	}
 	switch {
 	case !coordinated || (ok && coord.Name == c.nodeName):
-		p = c.placeLocally(now, j)
+		p = c.placeHere(ctx, j)
 		p.PlacedBy = c.nodeName
 		return p, false
 	case !ok:
 		return c.planner.PlaceUncoordinated(now, j), true
 	}
-	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+	timeout := placeTimeout
+	if j.Waited > 0 {
+		timeout += j.Hold
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := c.peers.Call(callCtx, coord.PeerAddress, placeKind, j, &p); err != nil {
 		if ctx.Err() != nil {
@@ -240,8 +272,8 @@
 		return c.planner.PlaceUncoordinated(time.Now(), j), true
 	}
 	p.PlacedBy = coord.Name
-	if !p.Refused() {
-		c.planner.Adopt(now, j, p, 0)
+	if !p.Refused() && !p.Waiting {
+		c.planner.Adopt(time.Now(), j.After(time.Since(now)), p, 0)
 	}
 	return p, false
 }
@@ -249,6 +281,7 @@
 // ReportResult records the outcome of an attempt and queues it for the coordinator.
 func (c *Coordinator) ReportResult(e catkinspindle.AttemptResult) {
 	c.planner.ReportResult(time.Now(), e)
+	c.wakeDispatcher()
 	c.mu.Lock()
 	o, ok := c.openJobs[e.JobID]
 	delete(c.openJobs, e.JobID)
@@ -366,7 +399,7 @@
 // RemoveNode discards the open jobs that a dead node has placed.
 func (c *Coordinator) RemoveNode(dead catkinspindle.Node) { c.planner.DropJobs(jobIDPrefix(dead)) }
 
-func (c *Coordinator) handlePlace(_ context.Context, decode func(any) error) (any, error) {
+func (c *Coordinator) handlePlace(ctx context.Context, decode func(any) error) (any, error) {
 	var j catkinspindle.Job
 	if err := decode(&j); err != nil {
 		return nil, err
@@ -374,7 +407,7 @@
 	if !c.planner.CanPlace(j.Service) {
 		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonNotReady, "service %s has no configuration or no replicas on the coordinator yet", j.Service)
 	}
-	return c.placeLocally(time.Now(), j), nil
+	return c.offer(ctx, j), nil
 }
 
 func (c *Coordinator) handleReport(_ context.Context, decode func(any) error) (any, error) {
@@ -393,5 +426,6 @@
 			c.onDeparture(*e.Departure)
 		}
 	}
+	c.wakeDispatcher()
 	return nil, nil
 }
--- a/coordinator/rate_limits.go
+++ b/coordinator/rate_limits.go
@@ -27,12 +27,11 @@
 	c.wakeReporter()
 }
 
-// placeLocally places a job with this node's planner. The authority is needed only for limited
-// replicas.
-func (c *Coordinator) placeLocally(now time.Time, j catkinspindle.Job) catkinspindle.Placement {
-	var authority catkinspindle.RateAuthority
-	if c.planner.HasRateLimits(now, j.Service) {
-		authority = c.authority(j.Pool)
+// authorityFor returns this node's authority over the rate limits of a pool. It is needed only if the
+// service has some.
+func (c *Coordinator) authorityFor(now time.Time, service string, pool catkinspindle.Pool) catkinspindle.RateAuthority {
+	if c.planner.HasRateLimits(now, service) {
+		return c.authority(pool)
 	}
-	return c.planner.PlaceWith(now, j, authority)
+	return catkinspindle.RateAuthority{}
 }
--- a/placement.go
+++ b/placement.go
@@ -38,9 +38,24 @@
 	// Patience is the time within which the caller must get an event, or it leaves; zero or less if
 	// that is unknown.
 	Patience time.Duration `cbor:"15,keyasint,omitempty"`
+	// Hold is how long the Placer may hold the call for a job that has to wait; zero if it must decide at
+	// once.
+	Hold time.Duration `cbor:"16,keyasint,omitempty"`
+	// Waited is how long the job has waited at Placers.
+	Waited time.Duration `cbor:"17,keyasint,omitempty"`
 	// Key 12 is taken: nodes of earlier versions send a flag with it.
 }
 
+// After returns j as it is once it has waited for d more.
+func (j Job) After(d time.Duration) Job {
+	j.Waited += d
+	j.TimeLeft -= d
+	if j.Patience > 0 {
+		j.Patience = max(1, j.Patience-d)
+	}
+	return j
+}
+
 // Pool is one of the parts into which the replicas of a large service are divided so
 // that several nodes can coordinate them. Part is in [0, Parts). The zero value and
 // Parts of one mean all replicas.
@@ -91,6 +106,8 @@
 	// RatePermit is true when the placement counts against the replica's rate limit. A limited
 	// replica must not be sent a request without it.
 	RatePermit bool `cbor:"13,keyasint,omitempty"`
+	// Waiting is true while the job waits: it is neither placed nor refused.
+	Waiting bool `cbor:"16,keyasint,omitempty"`
 	// PermitEnd is the time at which the RatePermit ends on the node that sends the request.
 	PermitEnd time.Time `cbor:"-"`
 }
@@ -109,6 +126,8 @@
 	// CheckMemory means that the replicas chosen for prefill had too little memory for
 	// the prompt.
 	CheckMemory Check = "memory"
+	// CheckQueue means that the job would have had to wait for too long behind others.
+	CheckQueue Check = "queue"
 	// CheckRateLimit means that the rate limits of the replicas were used up.
 	CheckRateLimit Check = "rate-limit"
 )
@@ -119,8 +138,8 @@
 	return p
 }
 
-// Refused reports whether the job was not placed.
-func (p Placement) Refused() bool { return p.Replica == "" }
+// Refused reports whether the job was not placed and does not wait.
+func (p Placement) Refused() bool { return p.Replica == "" && !p.Waiting }
 
 // Outcome is how an attempt at a replica ended.
 type Outcome int
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -44,6 +44,9 @@
 	rateTurns map[servicePool]*pacing.Pacer
 	// turns has the time of the next turn in each queue of refused jobs.
 	turns map[turnQueue]time.Time
+	// waiting has the jobs that wait, by ID; waitingCounts counts them by queue.
+	waiting       map[string]*waitingJob
+	waitingCounts map[waitingQueue]int
 }
 
 const (
@@ -120,6 +123,8 @@
 		rateLimits:    ratelimits.New(),
 		rateTurns:     map[servicePool]*pacing.Pacer{},
 		turns:         map[turnQueue]time.Time{},
+		waiting:       map[string]*waitingJob{},
+		waitingCounts: map[waitingQueue]int{},
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -343,6 +348,7 @@
 func (p *Planner) ReportResult(now time.Time, e catkinspindle.AttemptResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.removeWaiting(e.JobID)
 	a, ok := p.jobs[e.JobID]
 	if ok {
 		delete(p.jobs, e.JobID)
@@ -396,6 +402,11 @@
 			a.release()
 		}
 	}
+	for id := range p.waiting {
+		if strings.HasPrefix(id, prefix) {
+			p.removeWaiting(id)
+		}
+	}
 }
 
 // Load is the load that a planner tracks for a replica, for the dump and logs.
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -43,17 +43,8 @@
 // placeShort packs short jobs: it fills the replicas one after the other, so that the
 // rest stays free for long prompts.
 func (p *Planner) placeShort(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
-	prefill := prefillTime(m, j.PromptTokens)
-	limit := slotShare(m, p.policy.SpreadShare)
-	if p.hasLongBacklog(now, usable) {
-		limit = slotShare(m, p.policy.PackedShare)
-	}
-	k := 1
-	if prefill > p.policy.SplitPrefill {
-		k = min(len(usable), p.policy.MaxHelpers+1, int(prefill/p.policy.SplitPrefill)+1)
-		prefill /= time.Duration(k)
-	}
-	best, expected := p.choosePacked(now, hosts(usable), limit, j, m, prefill)
+	prefill, k := p.splitShort(j, m, usable)
+	best, expected := p.choosePacked(now, hosts(usable), p.packedLimit(now, j, m, usable), j, m, prefill)
 	if best == nil {
 		best, expected = p.chooseCheapest(now, hosts(usable), j, m, prefill)
 	}
@@ -68,6 +59,24 @@
 	return p.accept(now, a, urgency(j, shortLength))
 }
 
+// splitShort returns the prefill time of each segment of a short job and the number of segments.
+func (p *Planner) splitShort(j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) (segment time.Duration, k int) {
+	prefill := prefillTime(m, j.PromptTokens)
+	if prefill <= p.policy.SplitPrefill {
+		return prefill, 1
+	}
+	k = min(len(usable), p.policy.MaxHelpers+1, int(prefill/p.policy.SplitPrefill)+1)
+	return prefill / time.Duration(k), k
+}
+
+// packedLimit returns up to how many short jobs a replica gets before the next one.
+func (p *Planner) packedLimit(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) int {
+	if p.hasLongBacklog(now, j, usable) {
+		return slotShare(m, p.policy.PackedShare)
+	}
+	return slotShare(m, p.policy.SpreadShare)
+}
+
 // slotShare returns a fraction of an engine's slots, at least one.
 func slotShare(m catkinspindle.EngineModel, share float64) int {
 	return max(1, int(math.Round(share*float64(m.Slots))))
@@ -110,13 +119,13 @@
 	return ahead + shortWork(m, r, prefill), iterationTime(m, r) + max(later, ahead+jobPrefill)
 }
 
-// objective returns the time to the first event that j should have; all its time if its route has no
-// objective.
+// objective returns the time from now to the first event that j should have; all its time if its
+// route has no objective.
 func objective(j catkinspindle.Job) time.Duration {
 	if j.LatencyObjective <= 0 {
 		return j.TimeLeft
 	}
-	return j.LatencyObjective
+	return j.LatencyObjective - j.Waited
 }
 
 // shortWork estimates the time from the begin of the prefill of a short job on r to its first event.
@@ -159,18 +168,22 @@
 }
 
 // reservedForShort returns how many replicas are reserved for short jobs: as many as the short
-// jobs in flight fill, plus half a replica of headroom, bounded by ShortShare.
-func (p *Planner) reservedForShort(m catkinspindle.EngineModel, usable []*replica) int {
+// jobs that wait or are in flight fill, plus half a replica of headroom, bounded by ShortShare.
+func (p *Planner) reservedForShort(j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) int {
 	packed := slotShare(m, p.policy.PackedShare)
-	n := packed / 2
+	n := packed/2 + p.waitingCounts[waitingQueue{servicePool{j.Service, j.Pool}, false}]
 	for _, r := range usable {
 		n += r.shortJobs
 	}
 	return min((n+packed-1)/packed, int(p.policy.ShortShare*float64(len(usable))))
 }
 
-// hasLongBacklog reports whether a replica without short jobs has a prefill backlog.
-func (p *Planner) hasLongBacklog(now time.Time, usable []*replica) bool {
+// hasLongBacklog reports whether long prompts wait or a replica without short jobs has a prefill
+// backlog.
+func (p *Planner) hasLongBacklog(now time.Time, j catkinspindle.Job, usable []*replica) bool {
+	if p.waitingCounts[waitingQueue{servicePool{j.Service, j.Pool}, true}] > 0 {
+		return true
+	}
 	for _, r := range usable {
 		if r.backlog(now) > p.policy.ShortMaxGap/4 && r.shortJobs == 0 {
 			return true
@@ -333,7 +346,7 @@
 			candidates = append(candidates, r)
 		}
 	}
-	reserved := p.reservedForShort(m, usable)
+	reserved := p.reservedForShort(j, m, usable)
 	free := make([]*replica, 0, len(candidates))
 	var best prefillGroup
 	found := false
--- /dev/null
+++ b/placement/waiting.go
@@ -0,0 +1,280 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/schedule"
+)
+
+const (
+	// dispatchLead is how long before its replicas are free a waiting prompt is placed: the reports
+	// of ended jobs take that long, and until then it can still be put behind another one.
+	dispatchLead = 100 * time.Millisecond
+	// maxVainTries bounds the jobs in a row that are tried without success in one pass over a queue.
+	maxVainTries = 8
+)
+
+// waitingQueue is a queue of waiting jobs, short or long ones.
+type waitingQueue struct {
+	servicePool
+	long bool
+}
+
+// waitingJob is a job that has been offered and is neither placed nor refused.
+type waitingJob struct {
+	job       catkinspindle.Job
+	offeredAt time.Time
+	queue     waitingQueue
+}
+
+// at returns the job as it is at a time.
+func (w *waitingJob) at(now time.Time) catkinspindle.Job { return w.job.After(now.Sub(w.offeredAt)) }
+
+// MayWait reports whether j may wait at a planner. An attempt that replaces another one, or goes on
+// with an answer, was accepted before and goes first; a job without an objective has none to miss.
+func MayWait(j catkinspindle.Job) bool {
+	return j.PromptTokens > 0 && j.LatencyObjective > 0 && !j.Replacement && !j.MayBePartial
+}
+
+// Offer places or refuses j, or lets it wait until Dispatch decides. decided has the decisions on other
+// jobs that j has brought about.
+func (p *Planner) Offer(now time.Time, j catkinspindle.Job, authority catkinspindle.RateAuthority) (placed catkinspindle.Placement, decided []catkinspindle.Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable, model, final := p.candidates(now, j, authority)
+	if final != nil {
+		return *final, nil
+	}
+	if j.Hold <= 0 || !MayWait(j) {
+		return p.placePrompt(now, j, *model, usable), nil
+	}
+	queue := waitingQueue{servicePool{j.Service, j.Pool}, p.isLong(*model, j)}
+	p.waiting[j.ID] = &waitingJob{j, now, queue}
+	p.waitingCounts[queue]++
+	placed = catkinspindle.Placement{JobID: j.ID, Waiting: true}
+	for _, d := range p.dispatchQueue(now, queue, authority) {
+		if d.JobID == j.ID {
+			placed = d
+			continue
+		}
+		decided = append(decided, d)
+	}
+	return placed, decided
+}
+
+// Dispatch places or refuses the jobs of a pool that need not wait any longer.
+func (p *Planner) Dispatch(now time.Time, service string, pool catkinspindle.Pool, authority catkinspindle.RateAuthority) []catkinspindle.Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := servicePool{service, pool}
+	return append(p.dispatchQueue(now, waitingQueue{key, false}, authority), p.dispatchQueue(now, waitingQueue{key, true}, authority)...)
+}
+
+// WaitingJobs returns the number of jobs that wait.
+func (p *Planner) WaitingJobs() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting)
+}
+
+func (p *Planner) removeWaiting(id string) {
+	w, ok := p.waiting[id]
+	if !ok {
+		return
+	}
+	delete(p.waiting, id)
+	if p.waitingCounts[w.queue]--; p.waitingCounts[w.queue] == 0 {
+		delete(p.waitingCounts, w.queue)
+	}
+}
+
+// dispatchQueue places the jobs of a queue for which there is room, in the order of package schedule,
+// and refuses those that cannot be served in this order.
+func (p *Planner) dispatchQueue(now time.Time, queue waitingQueue, authority catkinspindle.RateAuthority) (decided []catkinspindle.Placement) {
+	if p.waitingCounts[queue] == 0 {
+		return nil
+	}
+	usable := p.usableReplicas(now, catkinspindle.Job{Service: queue.service, Pool: queue.pool}, authority)
+	model := p.services[queue.service]
+	if model == nil || len(usable) == 0 {
+		return p.refuseAll(now, queue)
+	}
+	order, unserved := p.order(now, queue, *model, usable)
+	for _, s := range unserved {
+		decided = append(decided, p.refuseWaiting(now, s, *model, usable))
+	}
+	vain, anyInTime := 0, false
+	for _, s := range order {
+		if vain >= maxVainTries || (s.Late && anyInTime) {
+			break
+		}
+		w := p.waiting[s.ID]
+		placed, ok, blocks := p.try(now, w, s, *model, p.withoutAvoided(w.job, usable))
+		if !ok {
+			vain++
+			anyInTime = anyInTime || !s.Late
+			if blocks {
+				break
+			}
+			continue
+		}
+		vain = 0
+		p.removeWaiting(s.ID)
+		decided = append(decided, placed)
+	}
+	return decided
+}
+
+// withoutAvoided returns the replicas that j does not avoid; all if it avoids all of them.
+func (p *Planner) withoutAvoided(j catkinspindle.Job, usable []*replica) []*replica {
+	if len(j.Avoid) == 0 {
+		return usable
+	}
+	avoided := make(map[string]bool, len(j.Avoid))
+	for _, id := range j.Avoid {
+		avoided[id] = true
+	}
+	var list []*replica
+	for _, r := range usable {
+		if !avoided[r.ID] {
+			list = append(list, r)
+		}
+	}
+	if len(hosts(list)) == 0 {
+		return usable
+	}
+	return list
+}
+
+// refuseAll refuses the jobs of a queue, because the service has no replica.
+func (p *Planner) refuseAll(now time.Time, queue waitingQueue) (decided []catkinspindle.Placement) {
+	for id, w := range p.waiting {
+		if w.queue == queue {
+			p.removeWaiting(id)
+			decided = append(decided, refusal(w.at(now), catkinspindle.ReasonNoBackend, p.policy.NoReplicaRetry, 0))
+		}
+	}
+	return decided
+}
+
+// refuseWaiting refuses a job that could only begin after its end.
+func (p *Planner) refuseWaiting(now time.Time, s schedule.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
+	j := p.waiting[s.ID].at(now)
+	p.removeWaiting(s.ID)
+	expected := s.Begin.Sub(now) + leastWork(m, j, p.policy.MaxHelpers+1, emptyIteration(m))
+	return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, s.Begin.Sub(s.End)), expected).WithCheck(catkinspindle.CheckQueue, patience(j))
+}
+
+// leastWork returns the shortest time from the begin of the prefill to the first event if it is split
+// between a number of replicas.
+func leastWork(m catkinspindle.EngineModel, j catkinspindle.Job, replicas int, iteration time.Duration) time.Duration {
+	return prefillTime(m, j.PromptTokens)/time.Duration(replicas) + iteration*3/2
+}
+
+// order returns the jobs of a queue in the order in which they should begin, and those that cannot be
+// served.
+func (p *Planner) order(now time.Time, queue waitingQueue, m catkinspindle.EngineModel, usable []*replica) (order, unserved []schedule.Job) {
+	jobs := make([]schedule.Job, 0, p.waitingCounts[queue])
+	var iterations, backlog time.Duration
+	freeSlot := false
+	for _, r := range usable {
+		iterations += iterationTime(m, r)
+		backlog += r.backlog(now)
+		freeSlot = freeSlot || len(r.jobs) < m.Slots
+	}
+	iteration := iterations / time.Duration(len(usable))
+	begin, servers := now, float64(len(usable))
+	if queue.long {
+		servers = max(1, servers-float64(p.reservedForShort(catkinspindle.Job{Service: queue.service, Pool: queue.pool}, m, usable)))
+		begin = now.Add(time.Duration(float64(backlog) / servers))
+	} else if !freeSlot {
+		begin = now.Add(nextEnd(now, m, usable))
+	}
+	for id, w := range p.waiting {
+		if w.queue != queue {
+			continue
+		}
+		j := w.at(now)
+		s := schedule.Job{ID: id, Rank: j.Priority}
+		least := leastWork(m, j, p.policy.MaxHelpers+1, emptyIteration(m))
+		if queue.long {
+			s.Work = prefillTime(m, j.PromptTokens)
+		} else {
+			segment, _ := p.splitShort(j, m, usable)
+			least = segment + iteration*3/2
+			s.Work = occupancy(m, j)
+		}
+		events := (j.AnswerTokens + m.Stride - 1) / m.Stride
+		decoding := time.Duration(max(0, events-1)) * iteration
+		s.Due = now.Add(objective(j) - least)
+		s.End = now.Add(min(patience(j), j.TimeLeft-decoding) - least)
+		jobs = append(jobs, s)
+	}
+	slices.SortFunc(jobs, func(a, b schedule.Job) int { return cmp.Compare(a.ID, b.ID) })
+	return schedule.Order(begin, servers, jobs)
+}
+
+// try places a waiting job if there is room for it now. blocks is true if the jobs behind it must not
+// go before it.
+func (p *Planner) try(now time.Time, w *waitingJob, s schedule.Job, m catkinspindle.EngineModel, usable []*replica) (placed catkinspindle.Placement, ok, blocks bool) {
+	if w.queue.long {
+		return p.tryLong(now, w.at(now), m, usable)
+	}
+	placed, ok = p.tryShort(now, w.at(now), s.Late, m, usable)
+	return placed, ok, false
+}
+
+// tryShort places a short job on a replica that sends its first event within the objective; one that
+// is late on the replica that sends it first without delaying the jobs that decode there.
+func (p *Planner) tryShort(now time.Time, j catkinspindle.Job, late bool, m catkinspindle.EngineModel, usable []*replica) (catkinspindle.Placement, bool) {
+	segment, k := p.splitShort(j, m, usable)
+	best, expected := p.choosePacked(now, hosts(usable), p.packedLimit(now, j, m, usable), j, m, segment)
+	if best == nil {
+		best, expected = p.chooseUndisturbed(now, hosts(usable), j, m, segment)
+		if best == nil || (!late && expected > objective(j)) {
+			return catkinspindle.Placement{}, false
+		}
+	}
+	a := &activeJob{job: j, replica: best, placedAt: now, firstEvent: expected, segmentTime: segment, helpers: p.leastPrefill(now, usable, best, k-1)}
+	return p.accept(now, a, urgency(j, shortLength)), true
+}
+
+// chooseUndisturbed returns the replica with a free slot that is expected to send the first event of j
+// first and pauses for no longer than GapShare allows.
+func (p *Planner) chooseUndisturbed(now time.Time, usable []*replica, j catkinspindle.Job, m catkinspindle.EngineModel, prefill time.Duration) (best *replica, expected time.Duration) {
+	for _, r := range usable {
+		if len(r.jobs) >= m.Slots || !p.fitsInMemory(m, r, j) {
+			continue
+		}
+		first, pause := p.estimateShort(now, m, r, prefill)
+		if float64(pause) <= p.policy.GapShare*float64(j.MaxEventGap) && (best == nil || first < expected) {
+			best, expected = r, first
+		}
+	}
+	return best, expected
+}
+
+// tryLong places a long job if the replicas that prefill it are free soon.
+func (p *Planner) tryLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) (placed catkinspindle.Placement, ok, blocks bool) {
+	best, found := p.bestGroup(now, j, m, usable)
+	if !found {
+		return placed, false, false
+	}
+	bypasses := best.segmentTime <= p.policy.BypassSegment
+	if !bypasses && best.start.Sub(now) > dispatchLead {
+		return placed, false, true
+	}
+	a := &activeJob{job: j, replica: best.host, helpers: best.helpers, placedAt: now, sendAt: best.start.Add(-p.policy.Lead), firstEvent: best.firstEvent, segmentTime: best.segmentTime}
+	if bypasses {
+		a.sendAt = now
+	}
+	if !p.fitsInMemory(m, best.host, j) && !p.reserveOnHelpers(a, m) {
+		return placed, false, false
+	}
+	placed = p.accept(now, a, urgency(j, longLength))
+	placed.FirstEventLimit = patience(j)
+	return best.describe(placed), true, false
+}
