Order waiting jobs by what is left of their time

Cause: in overload the order by the next to be late served nobody in time, and the largest prompts were given up first.

Change: late jobs go by the end of their time, half of the long ones are delayed for a limited time, bypassing prompts pass a blocked queue, and a lower rank yields to a higher one that waits.

--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -14,8 +14,10 @@
 	// learn that its coordinator has failed.
 	firstHold = 60 * time.Millisecond
 	nextHold  = 300 * time.Millisecond
-	// dispatchInterval is the longest time between two looks for room while jobs wait.
-	dispatchInterval = 15 * time.Millisecond
+	// dispatchInterval is the longest time between two looks for room while jobs wait,
+	// minDispatchInterval the shortest: with hundreds of nodes their reports come all the time.
+	dispatchInterval    = 15 * time.Millisecond
+	minDispatchInterval = 5 * time.Millisecond
 	// unclaimedTimeout is how long a job waits without a call for it. Its node has failed then, follows
 	// another coordinator or no longer wants it.
 	unclaimedTimeout = 2 * nextHold
@@ -68,8 +70,7 @@
 	defer c.waitMu.Unlock()
 	w, ok := c.waiters[j.ID]
 	if !ok {
-		placed, decided := c.planner.Offer(now, j, c.authorityFor(now, j.Service, j.Pool))
-		c.deliver(decided)
+		placed := c.planner.Offer(now, j, c.authorityFor(now, j.Service, j.Pool))
 		if !placed.Waiting {
 			return nil, placed
 		}
@@ -106,11 +107,16 @@
 		case <-c.room:
 		}
 		for c.dispatch(time.Now()) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(minDispatchInterval):
+			}
 			select {
 			case <-ctx.Done():
 				return
 			case <-c.room:
-			case <-time.After(dispatchInterval):
+			case <-time.After(dispatchInterval - minDispatchInterval):
 			}
 		}
 	}
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -25,14 +25,17 @@
 	answer             int
 	timeout, objective time.Duration
 	maxEventGap        time.Duration
+	// rank and patience are those of the jobs.
+	rank     int
+	patience time.Duration
 }
 
 // The load of a pool of 21 replicas: many short prompts and a few that need seconds of
 // prefill, with alternating bursts of 9.5 s of short and of long prompts.
 var kinds = []kind{
-	{"short", 43, 4960, 23800, 1650, 10 * time.Second, 300 * time.Millisecond, 250 * time.Millisecond},
-	{"medium", 2.2, 45000, 110000, 1000, 10 * time.Second, 1500 * time.Millisecond, 600 * time.Millisecond},
-	{"long", 1.3, 154000, 700000, 850, 15 * time.Second, 3 * time.Second, time.Second},
+	{"short", 43, 4960, 23800, 1650, 10 * time.Second, 300 * time.Millisecond, 250 * time.Millisecond, 0, 0},
+	{"medium", 2.2, 45000, 110000, 1000, 10 * time.Second, 1500 * time.Millisecond, 600 * time.Millisecond, 0, 0},
+	{"long", 1.3, 154000, 700000, 850, 15 * time.Second, 3 * time.Second, time.Second, 0, 0},
 }
 
 const (
@@ -61,6 +64,8 @@
 	lastEvent    time.Time
 	longestPause time.Duration
 	result       string
+	// refusedAfter is the time from the arrival to the last refusal.
+	refusedAfter time.Duration
 }
 
 // engine simulates a replica that prefills and decodes in iterations. An iteration
@@ -154,6 +159,8 @@
 	seq     int
 	engines map[string]*engine
 	callers []*caller
+	// waiting has the callers whose jobs wait, by job ID.
+	waiting map[string]*caller
 }
 
 func (p *simulation) schedule(t time.Time, run func()) {
@@ -185,18 +192,37 @@
 	c.job = catkinspindle.Job{
 		ID: fmt.Sprintf("n/1/%p/%d", c, c.attempts), Service: service, PromptTokens: c.size, AnswerTokens: c.kind.answer,
 		TimeLeft: c.kind.timeout - p.now.Sub(c.arrived), LatencyObjective: c.kind.objective, MaxEventGap: c.kind.maxEventGap,
+		Priority: c.kind.rank, Patience: c.kind.patience,
 	}
 	c.attempts++
-	placed := p.policy.Place(p.now, c.job)
+	q, ok := p.policy.(queued)
+	if !ok {
+		p.settle(c, p.policy.Place(p.now, c.job))
+		return
+	}
+	c.job.Hold = time.Second
+	placed := q.Offer(p.now, c.job, catkinspindle.FullRateAuthority())
+	if !placed.Waiting {
+		p.settle(c, placed)
+		return
+	}
+	if p.waiting[c.job.ID] = c; len(p.waiting) == 1 {
+		p.schedule(p.now.Add(dispatchInterval), func() { p.dispatch(q) })
+	}
+}
+
+// settle acts on the decision on the job of c.
+func (p *simulation) settle(c *caller, placed catkinspindle.Placement) {
 	if placed.Refused() {
 		// Callers wait at most a third of their remaining time before they retry.
 		if retryAt := p.now.Add(min(placed.RetryAfter, c.job.TimeLeft/3)); c.attempts <= maxRetries && retryAt.Before(c.arrived.Add(c.kind.timeout)) {
 			p.schedule(retryAt, func() { p.attempt(c) })
 			return
 		}
-		c.result = "refused"
+		c.result, c.refusedAfter = "refused", p.now.Sub(c.arrived)
 		return
 	}
+	debugPlaced[c] = [2]time.Duration{p.now.Sub(c.arrived), placed.ExpectedFirstEvent}
 	c.host = p.engines[placed.Replica]
 	c.segmentsLeft = 1 + len(placed.Helpers)
 	segmentTime := prefillTime(c.size) / time.Duration(c.segmentsLeft)
@@ -323,7 +349,7 @@
 
 // runOn simulates the load on the given number of replicas.
 func runOn(replicas int, policy placer, seed uint64, factor float64, disruptions ...disruption) []*caller {
-	p := &simulation{policy: policy, engines: map[string]*engine{}}
+	p := &simulation{policy: policy, engines: map[string]*engine{}, waiting: map[string]*caller{}}
 	for i := range replicas {
 		p.engines[fmt.Sprintf("r%02d", i)] = &engine{}
 	}
@@ -622,9 +648,9 @@
 	t.Cleanup(func() { model, kinds = usualModel, usualKinds })
 	model.Slots, model.Stride = 10, 80
 	kinds = []kind{
-		{"short", 29, 4960, 23800, 1880, 10 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond},
-		{"medium", 2.1, 45000, 110000, 1130, 10 * time.Second, 1500 * time.Millisecond, 800 * time.Millisecond},
-		{"long", 0.7, 220000, 700000, 940, 15 * time.Second, 4 * time.Second, 1200 * time.Millisecond},
+		{"short", 29, 4960, 23800, 1880, 10 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond, 0, 0},
+		{"medium", 2.1, 45000, 110000, 1130, 10 * time.Second, 1500 * time.Millisecond, 800 * time.Millisecond, 0, 0},
+		{"long", 0.7, 220000, 700000, 940, 15 * time.Second, 4 * time.Second, 1200 * time.Millisecond, 0, 0},
 	}
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -47,6 +47,8 @@
 	// waiting has the jobs that wait, by ID; waitingCounts counts them by queue.
 	waiting       map[string]*waitingJob
 	waitingCounts map[waitingQueue]int
+	// lateRanks has the highest rank of the long jobs of a pool that wait although they are late.
+	lateRanks map[servicePool]int
 }
 
 const (
@@ -125,6 +127,7 @@
 		turns:         map[turnQueue]time.Time{},
 		waiting:       map[string]*waitingJob{},
 		waitingCounts: map[waitingQueue]int{},
+		lateRanks:     map[servicePool]int{},
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -59,7 +59,7 @@
 	return p.accept(now, a, urgency(j, shortLength))
 }
 
-// splitShort returns the prefill time of each segment of a short job and the number of segments.
+// splitShort x.
 func (p *Planner) splitShort(j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) (segment time.Duration, k int) {
 	prefill := prefillTime(m, j.PromptTokens)
 	if prefill <= p.policy.SplitPrefill {
--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/schedule"
 )
@@ -15,6 +18,10 @@
 	dispatchLead = 100 * time.Millisecond
 	// maxVainTries bounds the jobs in a row that are tried without success in one pass over a queue.
 	maxVainTries = 8
+	// keptShare is of how many jobs one is kept: it is delayed for half of its time at most, however much
+	// work it needs. The choice follows from the ID and does not change. So the largest prompts are
+	// served at least half as often as all.
+	keptShare = 2
 )
 
 // waitingQueue is a queue of waiting jobs, short or long ones.
@@ -39,30 +46,26 @@
 	return j.PromptTokens > 0 && j.LatencyObjective > 0 && !j.Replacement && !j.MayBePartial
 }
 
-// Offer places or refuses j, or lets it wait until Dispatch decides. decided has the decisions on other
-// jobs that j has brought about.
-func (p *Planner) Offer(now time.Time, j catkinspindle.Job, authority catkinspindle.RateAuthority) (placed catkinspindle.Placement, decided []catkinspindle.Placement) {
+// Offer places or refuses j, or lets it wait until Dispatch decides.
+func (p *Planner) Offer(now time.Time, j catkinspindle.Job, authority catkinspindle.RateAuthority) catkinspindle.Placement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable, model, final := p.candidates(now, j, authority)
 	if final != nil {
-		return *final, nil
+		return *final
 	}
 	if j.Hold <= 0 || !MayWait(j) {
-		return p.placePrompt(now, j, *model, usable), nil
+		return p.placePrompt(now, j, *model, usable)
 	}
 	queue := waitingQueue{servicePool{j.Service, j.Pool}, p.isLong(*model, j)}
 	p.waiting[j.ID] = &waitingJob{j, now, queue}
 	p.waitingCounts[queue]++
-	placed = catkinspindle.Placement{JobID: j.ID, Waiting: true}
-	for _, d := range p.dispatchQueue(now, queue, authority) {
-		if d.JobID == j.ID {
-			placed = d
-			continue
+	if p.waitingCounts[queue] == 1 { // Otherwise there was no room for the others.
+		if decided := p.dispatchQueue(now, queue, authority); len(decided) > 0 {
+			return decided[0]
 		}
-		decided = append(decided, d)
 	}
-	return placed, decided
+	return catkinspindle.Placement{JobID: j.ID, Waiting: true}
 }
 
 // Dispatch places or refuses the jobs of a pool that need not wait any longer.
@@ -106,19 +109,28 @@
 	for _, s := range unserved {
 		decided = append(decided, p.refuseWaiting(now, s, *model, usable))
 	}
-	vain, anyInTime := 0, false
+	yieldTo := p.yieldTo(queue)
+	if queue.long {
+		delete(p.lateRanks, queue.servicePool)
+	}
+	vain, anyInTime, blocked := 0, false, false
 	for _, s := range order {
+		w := p.waiting[s.ID]
+		switch {
+		case s.Rank > yieldTo:
+			continue
+		case blocked && !p.bypasses(*model, w.job):
+			continue
+		}
 		if vain >= maxVainTries || (s.Late && anyInTime) {
 			break
 		}
-		w := p.waiting[s.ID]
 		placed, ok, blocks := p.try(now, w, s, *model, p.withoutAvoided(w.job, usable))
 		if !ok {
 			vain++
-			anyInTime = anyInTime || !s.Late
-			if blocks {
-				break
-			}
+			anyInTime = anyInTime || (!s.Late && !blocks)
+			blocked = blocked || blocks
+			p.recordLate(queue, s)
 			continue
 		}
 		vain = 0
@@ -128,6 +140,44 @@
 	return decided
 }
 
+// yieldTo returns the lowest rank of which jobs of a queue may be placed. Jobs of a lower rank would
+// take the replicas of jobs of the other queue: of long ones that are late, or of short ones, whose
+// objectives leave no time to wait.
+func (p *Planner) yieldTo(queue waitingQueue) int {
+	highest := math.MaxInt
+	if !queue.long {
+		if rank, ok := p.lateRanks[queue.servicePool]; ok {
+			highest = rank
+		}
+		return highest
+	}
+	short := waitingQueue{queue.servicePool, false}
+	if p.waitingCounts[short] == 0 {
+		return highest
+	}
+	for _, w := range p.waiting {
+		if w.queue == short {
+			highest = min(highest, w.job.Priority)
+		}
+	}
+	return highest
+}
+
+// recordLate records the highest rank of the long jobs of a pool that are late and wait.
+func (p *Planner) recordLate(queue waitingQueue, s schedule.Job) {
+	if !queue.long || !s.Late {
+		return
+	}
+	if rank, ok := p.lateRanks[queue.servicePool]; !ok || s.Rank < rank {
+		p.lateRanks[queue.servicePool] = s.Rank
+	}
+}
+
+// bypasses reports whether the segments of j are so short that they go ahead of the queue.
+func (p *Planner) bypasses(m catkinspindle.EngineModel, j catkinspindle.Job) bool {
+	return prefillTime(m, j.PromptTokens)/time.Duration(p.policy.MaxHelpers+1) <= p.policy.BypassSegment
+}
+
 // withoutAvoided returns the replicas that j does not avoid; all if it avoids all of them.
 func (p *Planner) withoutAvoided(j catkinspindle.Job, usable []*replica) []*replica {
 	if len(j.Avoid) == 0 {
@@ -168,6 +218,13 @@
 	return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, s.Begin.Sub(s.End)), expected).WithCheck(catkinspindle.CheckQueue, patience(j))
 }
 
+// shortOccupancy returns how long a short job keeps a replica busy: its prefill, and its share of the
+// iterations that decode its answer.
+func shortOccupancy(m catkinspindle.EngineModel, j catkinspindle.Job, iteration time.Duration) time.Duration {
+	events := (j.AnswerTokens + m.Stride - 1) / m.Stride
+	return prefillTime(m, j.PromptTokens) + time.Duration(events)*iteration/time.Duration(m.Slots)
+}
+
 // leastWork returns the shortest time from the begin of the prefill to the first event if it is split
 // between a number of replicas.
 func leastWork(m catkinspindle.EngineModel, j catkinspindle.Job, replicas int, iteration time.Duration) time.Duration {
@@ -179,18 +236,23 @@
 func (p *Planner) order(now time.Time, queue waitingQueue, m catkinspindle.EngineModel, usable []*replica) (order, unserved []schedule.Job) {
 	jobs := make([]schedule.Job, 0, p.waitingCounts[queue])
 	var iterations, backlog time.Duration
-	freeSlot := false
+	// earliest is the shortest time to the first event of an empty prompt.
+	earliest := time.Duration(math.MaxInt64)
 	for _, r := range usable {
 		iterations += iterationTime(m, r)
 		backlog += r.backlog(now)
-		freeSlot = freeSlot || len(r.jobs) < m.Slots
+		if len(r.jobs) < m.Slots {
+			first, _ := p.estimateShort(now, m, r, 0)
+			earliest = min(earliest, first)
+		}
 	}
 	iteration := iterations / time.Duration(len(usable))
 	begin, servers := now, float64(len(usable))
 	if queue.long {
 		servers = max(1, servers-float64(p.reservedForShort(catkinspindle.Job{Service: queue.service, Pool: queue.pool}, m, usable)))
 		begin = now.Add(time.Duration(float64(backlog) / servers))
-	} else if !freeSlot {
+	} else if earliest == math.MaxInt64 {
+		earliest = iteration * 3 / 2
 		begin = now.Add(nextEnd(now, m, usable))
 	}
 	for id, w := range p.waiting {
@@ -199,18 +261,22 @@
 		}
 		j := w.at(now)
 		s := schedule.Job{ID: id, Rank: j.Priority}
-		least := leastWork(m, j, p.policy.MaxHelpers+1, emptyIteration(m))
+		var least time.Duration
 		if queue.long {
+			least = leastWork(m, j, p.policy.MaxHelpers+1, iteration)
 			s.Work = prefillTime(m, j.PromptTokens)
 		} else {
 			segment, _ := p.splitShort(j, m, usable)
-			least = segment + iteration*3/2
-			s.Work = occupancy(m, j)
+			least = segment + earliest
+			s.Work = shortOccupancy(m, j, iteration)
 		}
 		events := (j.AnswerTokens + m.Stride - 1) / m.Stride
 		decoding := time.Duration(max(0, events-1)) * iteration
 		s.Due = now.Add(objective(j) - least)
 		s.End = now.Add(min(patience(j), j.TimeLeft-decoding) - least)
+		if xxhash.Sum64String(id)%keptShare == 0 {
+			s.Keep = w.offeredAt.Add(s.End.Sub(w.offeredAt) / 2)
+		}
 		jobs = append(jobs, s)
 	}
 	slices.SortFunc(jobs, func(a, b schedule.Job) int { return cmp.Compare(a.ID, b.ID) })
--- a/schedule/order_test.go
+++ b/schedule/order_test.go
@@ -18,6 +18,12 @@
 	return schedule.Job{ID: id, Rank: rank, Due: start.Add(time.Duration(due) * time.Millisecond), End: start.Add(time.Duration(end) * time.Millisecond), Work: time.Duration(work) * time.Millisecond}
 }
 
+// kept returns j as a job to keep.
+func kept(j schedule.Job) schedule.Job {
+	j.Keep = j.End
+	return j
+}
+
 // describe returns the IDs of jobs, late ones in brackets.
 func describe(jobs []schedule.Job) (ids []string) {
 	for _, j := range jobs {
@@ -73,6 +79,18 @@
 			[]string{"c"},
 			[]string{"(b)", "(a)"},
 		},
+		"a job to keep goes first when its time ends": {
+			1,
+			[]schedule.Job{kept(job("large", 1, -100, 250, 900)), job("a", 1, 100, 9000, 100), job("b", 1, 150, 9000, 100), job("c", 1, 300, 9000, 100)},
+			[]string{"a", "b", "(large)", "(c)"},
+			nil,
+		},
+		"a job to keep that has time is delayed": {
+			1,
+			[]schedule.Job{kept(job("large", 1, -100, 5000, 900)), job("a", 1, 100, 9000, 100), job("c", 1, 300, 9000, 100)},
+			[]string{"a", "c", "(large)"},
+			nil,
+		},
 		"too late already": {
 			4,
 			[]schedule.Job{job("a", 1, -500, -100, 10)},
@@ -105,7 +123,11 @@
 		var jobs []schedule.Job
 		for i := range rapid.IntRange(0, 40).Draw(t, "jobs") {
 			due := rapid.IntRange(-500, 4000).Draw(t, "due")
-			jobs = append(jobs, job(fmt.Sprint(i), rapid.IntRange(0, 2).Draw(t, "rank"), due, due+rapid.IntRange(0, 4000).Draw(t, "slack"), rapid.IntRange(0, 3000).Draw(t, "work")))
+			j := job(fmt.Sprint(i), rapid.IntRange(0, 2).Draw(t, "rank"), due, due+rapid.IntRange(0, 4000).Draw(t, "slack"), rapid.IntRange(0, 3000).Draw(t, "work"))
+			if rapid.Bool().Draw(t, "keep") {
+				j = kept(j)
+			}
+			jobs = append(jobs, j)
 		}
 		servers := rapid.Float64Range(0, 20).Draw(t, "servers")
 		order, unserved := schedule.Order(start, servers, jobs)
