--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -18,7 +18,7 @@
 	dispatchLead = 100 * time.Millisecond
 	// maxVainTries bounds the jobs in a row that are tried without success in one pass over a queue.
 	maxVainTries = 8
-	// keptShare is of how many jobs one is kept: it is delayed for half of its time at most, however much
+	// keptShare is of how many long jobs one is kept: it is delayed for half of its time at most, however much
 	// work it needs. The choice follows from the ID and does not change. So the largest prompts are
 	// served at least half as often as all.
 	keptShare = 2
@@ -35,6 +35,8 @@
 	job       catkinspindle.Job
 	offeredAt time.Time
 	queue     waitingQueue
+	// admitted is true once the job has been found to be served if it waits.
+	admitted bool
 }
 
 // at returns the job as it is at a time.
@@ -58,7 +60,7 @@
 		return p.placePrompt(now, j, *model, usable)
 	}
 	queue := waitingQueue{servicePool{j.Service, j.Pool}, p.isLong(*model, j)}
-	p.waiting[j.ID] = &waitingJob{j, now, queue}
+	p.waiting[j.ID] = &waitingJob{job: j, offeredAt: now, queue: queue}
 	p.waitingCounts[queue]++
 	if p.waitingCounts[queue] == 1 { // Otherwise there was no room for the others.
 		if decided := p.dispatchQueue(now, queue, authority); len(decided) > 0 {
@@ -106,7 +108,8 @@
 		return p.refuseAll(now, queue)
 	}
 	order, unserved := p.order(now, queue, *model, usable)
-	for _, s := range unserved {
+	order, turnedAway := p.admit(now, order)
+	for _, s := range append(unserved, turnedAway...) {
 		decided = append(decided, p.refuseWaiting(now, s, *model, usable))
 	}
 	yieldTo := p.yieldTo(queue)
@@ -178,6 +181,22 @@
 	return prefillTime(m, j.PromptTokens)/time.Duration(p.policy.MaxHelpers+1) <= p.policy.BypassSegment
 }
 
+// admit returns the jobs of an order that may wait, and those that are turned away. A new job that
+// would be late is turned away unless it begins within half of the time after which it is of no use:
+// jobs that come later and can be in time will go before it.
+func (p *Planner) admit(now time.Time, order []schedule.Job) (admitted, turnedAway []schedule.Job) {
+	for _, s := range order {
+		w := p.waiting[s.ID]
+		if !w.admitted && s.Late && s.Keep.IsZero() && s.Begin.Sub(now) > s.End.Sub(now)/2 {
+			turnedAway = append(turnedAway, s)
+			continue
+		}
+		w.admitted = true
+		admitted = append(admitted, s)
+	}
+	return admitted, turnedAway
+}
+
 // withoutAvoided returns the replicas that j does not avoid; all if it avoids all of them.
 func (p *Planner) withoutAvoided(j catkinspindle.Job, usable []*replica) []*replica {
 	if len(j.Avoid) == 0 {
@@ -274,7 +293,7 @@
 		decoding := time.Duration(max(0, events-1)) * iteration
 		s.Due = now.Add(objective(j) - least)
 		s.End = now.Add(min(patience(j), j.TimeLeft-decoding) - least)
-		if xxhash.Sum64String(id)%keptShare == 0 {
+		if queue.long && xxhash.Sum64String(id)%keptShare == 0 {
 			s.Keep = w.offeredAt.Add(s.End.Sub(w.offeredAt) / 2)
 		}
 		jobs = append(jobs, s)
