Judge jobs again when they become late

Cause: jobs that were admitted in time were held until they were of no use. A job whose caller had left could be asked for without end.

Change: a job is judged again when it becomes late. Long ones that are kept may make long answers pause.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -250,18 +250,19 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := c.peers.Call(callCtx, coord.PeerAddress, placeKind, j, &p); err != nil {
-		if ctx.Err() != nil {
-			// The job is no longer wanted, which says nothing about the coordinator. It may have
-			// placed the job.
-			c.mu.Lock()
-			c.queueUpdate(j.Pool, func(n *updates) {
-				n.Results = append(n.Results, catkinspindle.AttemptResult{JobID: j.ID, Outcome: catkinspindle.OutcomeGivenUp})
-			})
-			c.mu.Unlock()
-			c.wakeReporter()
-			return catkinspindle.Placement{JobID: j.ID, Reason: catkinspindle.ReasonNoBackend}, false
-		}
+	err := c.peers.Call(callCtx, coord.PeerAddress, placeKind, j, &p)
+	if ctx.Err() != nil && (err != nil || p.Waiting) {
+		// The job is no longer wanted, which says nothing about the coordinator. It may have
+		// placed the job.
+		c.mu.Lock()
+		c.queueUpdate(j.Pool, func(n *updates) {
+			n.Results = append(n.Results, catkinspindle.AttemptResult{JobID: j.ID, Outcome: catkinspindle.OutcomeGivenUp})
+		})
+		c.mu.Unlock()
+		c.wakeReporter()
+		return catkinspindle.Placement{JobID: j.ID, Reason: catkinspindle.ReasonNoBackend}, false
+	}
+	if err != nil {
 		var failure *catkinspindle.Failure
 		if errors.As(err, &failure) && failure.Reason == catkinspindle.ReasonNotReady {
 			// The coordinator has just started and has no configuration yet.
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -225,7 +225,7 @@
 // prompts that overlap would delay each other. The request is not sent before the
 // replicas are free.
 func (p *Planner) placeLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
-	best, ok := p.bestGroup(now, j, m, usable)
+	best, ok := p.bestGroup(now, j, m, usable, false)
 	if !ok {
 		return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, nextEnd(now, m, usable)), 0).WithCheck(catkinspindle.CheckReaders, 0)
 	}
@@ -336,8 +336,9 @@
 	return max(prefillTime(m, j.PromptTokens), time.Duration(events)*full/time.Duration(m.Slots))
 }
 
-// bestGroup returns the group with the earliest first event.
-func (p *Planner) bestGroup(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) (prefillGroup, bool) {
+// bestGroup returns the group with the earliest first event. It includes replicas that decode long
+// answers, which pause for longer than they should, only if pauses are allowed.
+func (p *Planner) bestGroup(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, allowPauses bool) (prefillGroup, bool) {
 	prefill := prefillTime(m, j.PromptTokens)
 	candidates := make([]*replica, 0, len(usable))
 	for _, r := range usable {
@@ -356,7 +357,7 @@
 		if k > 1 && segmentTime < p.policy.MinSegment {
 			break
 		}
-		free = p.segmentCandidates(now, candidates, reserved, segmentTime, free[:0])
+		free = p.segmentCandidates(now, candidates, reserved, segmentTime, allowPauses, free[:0])
 		g, ok := p.buildGroup(now, j, m, free, segmentTime, k)
 		if ok && (!found || g.firstEvent < best.firstEvent) {
 			best, found = g, true
@@ -367,11 +368,16 @@
 
 // segmentCandidates appends to list the replicas that can prefill a segment, and sets their
 // availableAt and helperKey.
-func (p *Planner) segmentCandidates(now time.Time, candidates []*replica, reserved int, segmentTime time.Duration, list []*replica) []*replica {
+func (p *Planner) segmentCandidates(now time.Time, candidates []*replica, reserved int, segmentTime time.Duration, allowPauses bool, list []*replica) []*replica {
 	for i, r := range candidates {
 		r.availableAt = r.idleAt
 		if !p.toleratesSegment(r, segmentTime) {
-			if i < reserved || r.shortJobs == 0 {
+			switch {
+			case i < reserved || (r.shortJobs == 0 && !allowPauses):
+				continue
+			case r.shortJobs == 0:
+				r.helperKey = p.helperAvailableAt(now, r)
+				list = append(list, r)
 				continue
 			}
 			// No short jobs are placed on a replica with a long segment ahead.
--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -18,6 +18,9 @@
 	dispatchLead = 100 * time.Millisecond
 	// maxVainTries bounds the jobs in a row that are tried without success in one pass over a queue.
 	maxVainTries = 8
+	// lateRoom is the share of its time for which a late job may have to wait for the jobs that are there
+	// when it becomes late: others that come later and can be in time go before it.
+	lateRoom = 0.5
 	// keptShare is of how many long jobs one is kept: it is delayed for half of its time at most, however much
 	// work it needs. The choice follows from the ID and does not change. So the largest prompts are
 	// served at least half as often as all.
@@ -35,8 +38,8 @@
 	job       catkinspindle.Job
 	offeredAt time.Time
 	queue     waitingQueue
-	// admitted is true once the job has been found to be served if it waits.
-	admitted bool
+	// mayBeLate is true once the job has been found to be served although it is late.
+	mayBeLate bool
 }
 
 // at returns the job as it is at a time.
@@ -181,17 +184,16 @@
 	return prefillTime(m, j.PromptTokens)/time.Duration(p.policy.MaxHelpers+1) <= p.policy.BypassSegment
 }
 
-// admit returns the jobs of an order that may wait, and those that are turned away. A new job that
-// would be late is turned away unless it begins within half of the time after which it is of no use:
-// jobs that come later and can be in time will go before it.
+// admit returns the jobs of an order that may wait, and those that are turned away: once a job is late
+// it must have time to wait for others that come later.
 func (p *Planner) admit(now time.Time, order []schedule.Job) (admitted, turnedAway []schedule.Job) {
 	for _, s := range order {
 		w := p.waiting[s.ID]
-		if !w.admitted && s.Late && s.Keep.IsZero() && s.Begin.Sub(now) > s.End.Sub(now)/2 {
+		if s.Late && s.Keep.IsZero() && !w.mayBeLate && s.Begin.Sub(now) > usableTime(now, s) {
 			turnedAway = append(turnedAway, s)
 			continue
 		}
-		w.admitted = true
+		w.mayBeLate = w.mayBeLate || s.Late
 		admitted = append(admitted, s)
 	}
 	return admitted, turnedAway
@@ -229,12 +231,18 @@
 	return decided
 }
 
+// usableTime returns for how long a late job may wait for the jobs ahead of it.
+func usableTime(now time.Time, s schedule.Job) time.Duration {
+	return time.Duration(lateRoom * float64(s.End.Sub(now)))
+}
+
 // refuseWaiting refuses a job that could only begin after its end.
 func (p *Planner) refuseWaiting(now time.Time, s schedule.Job, m catkinspindle.EngineModel, usable []*replica) catkinspindle.Placement {
 	j := p.waiting[s.ID].at(now)
 	p.removeWaiting(s.ID)
 	expected := s.Begin.Sub(now) + leastWork(m, j, p.policy.MaxHelpers+1, emptyIteration(m))
-	return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, s.Begin.Sub(s.End)), expected).WithCheck(catkinspindle.CheckQueue, patience(j))
+	excess := s.Begin.Sub(now) - usableTime(now, s)
+	return refusal(j, catkinspindle.ReasonOverload, p.turn(now, j, m, usable, excess), expected).WithCheck(catkinspindle.CheckQueue, patience(j))
 }
 
 // shortOccupancy returns how long a short job keeps a replica busy: its prefill, and its share of the
@@ -306,7 +314,7 @@
 // go before it.
 func (p *Planner) try(now time.Time, w *waitingJob, s schedule.Job, m catkinspindle.EngineModel, usable []*replica) (placed catkinspindle.Placement, ok, blocks bool) {
 	if w.queue.long {
-		return p.tryLong(now, w.at(now), m, usable)
+		return p.tryLong(now, w.at(now), m, usable, !s.Keep.IsZero() && now.After(s.Keep))
 	}
 	placed, ok = p.tryShort(now, w.at(now), s.Late, m, usable)
 	return placed, ok, false
@@ -343,8 +351,8 @@
 }
 
 // tryLong places a long job if the replicas that prefill it are free soon.
-func (p *Planner) tryLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica) (placed catkinspindle.Placement, ok, blocks bool) {
-	best, found := p.bestGroup(now, j, m, usable)
+func (p *Planner) tryLong(now time.Time, j catkinspindle.Job, m catkinspindle.EngineModel, usable []*replica, allowPauses bool) (placed catkinspindle.Placement, ok, blocks bool) {
+	best, found := p.bestGroup(now, j, m, usable, allowPauses)
 	if !found {
 		return placed, false, false
 	}
