--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -47,6 +47,8 @@
 	bodyMemoryShare = 0.2
 	// answerMemoryShare is the share of the VM's memory that the answers of replicas may take.
 	answerMemoryShare = 0.15
+	// waitingMetric is the number of jobs that wait at this node.
+	waitingMetric = "jobs-waiting"
 
 	secretKind = "catkinspindle-keys"
 	secretName = "fleet"
@@ -129,6 +131,7 @@
 	n.rateLimits = ratelimits.New()
 	n.quarantine = quarantine.New(quarantine.WithOnHold(n.holdChanged), quarantine.WithOnLocal(n.wakeFleet))
 	n.planner = placement.New(placement.WithRateLimits(n.rateLimits))
+	metrics.NewRegisteredFunctionalGauge(waitingMetric, n.metrics, func() int64 { return int64(n.planner.WaitingJobs()) })
 	n.paths = paths.New(paths.WithOnLost(n.pathsChanged))
 	n.relays = relays.New(n.direct, n.paths, n.log)
 	answers := buffers.New(int64(answerMemoryShare * float64(s.MemoryMB) * (1 << 20)))
--- a/placement/waiting_test.go
+++ b/placement/waiting_test.go
@@ -278,3 +278,20 @@
 		})
 	}
 }
+
+// BenchmarkDispatch looks for room for a thousand waiting jobs.
+func BenchmarkDispatch(b *testing.B) {
+	const replicas, waiting = 300, 1000
+	p := planner(replicas)
+	for i := 0; p.WaitingJobs() < waiting; i++ {
+		j := waitingJob(long(i, 154_000))
+		if i%2 == 0 {
+			j = waitingJob(short(i))
+		}
+		j.TimeLeft = time.Hour
+		p.Offer(start, j, catkinspindle.FullRateAuthority())
+	}
+	for b.Loop() {
+		p.Dispatch(start, service, catkinspindle.Pool{}, catkinspindle.FullRateAuthority())
+	}
+}
