Accept a configuration with odd values about cold replicas

Cause: cold-s and cold-per-s were decoded as plain numbers, so a text in one of them made the whole configuration unreadable, and a huge time overflowed. An odd cold-left-ms was dropped without a line.

Change: a malformed or negative value counts as not stated, a huge one as the highest; a warning names the service or the entry. The line of a changed replica states for how long it stays cold.

--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -144,6 +144,9 @@
 		return
 	}
 	if s.n.view.SetRouting(r) {
+		for service, problem := range platform.ColdServiceProblems(o.Spec) {
+			s.n.log.Warn("odd value about cold replicas in the configuration", events.ConfigAdopted.Attr(), "version", r.Version, "service", service, "problem", problem)
+		}
 		s.n.log.Info("configuration adopted", events.ConfigAdopted.Attr(), "version", r.Version, "revision", o.Revision, "source", "store")
 	}
 }
@@ -174,7 +177,7 @@
 			change.Replica.ID = c.Object.Name
 		}
 		s.n.log.Info("replica changed", events.ReplicaChanged.Attr(), "replica", change.Replica.ID, "address", change.Replica.Address,
-			"leaving", change.Replica.Leaving, "gone", change.Removed, "position", position, "after-outage", !mayReturnUntil.IsZero())
+			"leaving", change.Replica.Leaving, "gone", change.Removed, "cold-left", change.Replica.ColdLeft, "position", position, "after-outage", !mayReturnUntil.IsZero())
 		list = append(list, change)
 	}
 	s.n.view.ChangeReplicas(list, position, mayReturnUntil)
@@ -186,6 +189,9 @@
 		s.n.log.Warn("replica entry in the store cannot be decoded", events.ReplicaChanged.Attr(), "entry", o.Name, "error", err)
 		return r, false
 	}
+	if problem := platform.ColdLeftProblem(o); problem != "" {
+		s.n.log.Warn("odd value in a replica entry in the store", events.ReplicaChanged.Attr(), "entry", o.Name, "problem", problem)
+	}
 	return r, true
 }
 
