--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -8,11 +8,17 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/reservations"
 )
 
+// coldSkipsMetric counts the requests that were not sent to the replica of their placement because it
+// was cold and they had no permit.
+const coldSkipsMetric = "requests-kept-from-cold-replicas"
+
 // place has the request placed and records the placement and the time that it took.
 func (x *exchange) place(ctx context.Context, avoid []string) catkinspindle.Placement {
 	now := time.Now()
@@ -81,6 +87,7 @@
 	replica, ok = x.usableReplica(p.Replica)
 	now := time.Now()
 	if _, cold := replica.ColdLimit(now); cold && now.After(p.PermitEnd) {
+		metrics.GetOrRegisterCounter(coldSkipsMetric, x.gateway.metrics).Inc(1)
 		return replica, false, false
 	}
 	if _, limited := x.gateway.rateLimits.Limit(replica); limited && now.After(p.PermitEnd) {
--- a/gatewaynode/evacuations.go
+++ b/gatewaynode/evacuations.go
@@ -10,8 +10,12 @@
 	"github.com/catkinspindle/catkinspindle/view"
 )
 
-// evacuatedMetric is the number of evacuated data centres that this node knows of.
-const evacuatedMetric = "evacuated-data-centres"
+// Gauges of what this node knows: the evacuated data centres, and the replicas that were cold at the
+// last change of its view.
+const (
+	evacuatedMetric = "evacuated-data-centres"
+	coldMetric      = "cold-replicas"
+)
 
 // evacuationsSink passes the evacuations in the store to the view. Each watch of the store has its own.
 type evacuationsSink struct {
@@ -63,7 +67,14 @@
 	}
 }
 
-// countEvacuated updates the metric of the evacuated data centres.
-func (n *Node) countEvacuated(s *view.State) {
+// countUnavailable updates the metrics of evacuated data centres and cold replicas.
+func (n *Node) countUnavailable(s *view.State) {
 	metrics.GetOrRegisterGauge(evacuatedMetric, n.metrics).Update(int64(len(s.Evacuations.DataCentres)))
+	now, cold := time.Now(), int64(0)
+	for _, r := range s.Replicas {
+		if _, limited := r.ColdLimit(now); limited {
+			cold++
+		}
+	}
+	metrics.GetOrRegisterGauge(coldMetric, n.metrics).Update(cold)
 }
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -339,7 +339,7 @@
 		n.planner.SetServices(s.Table.Routing().Services)
 		n.listeners.SetLimits(s.Table.Routing().Limits)
 	}
-	n.countEvacuated(s)
+	n.countUnavailable(s)
 	n.planner.SetReplicas(s.Replicas)
 	n.rateLimits.Prune(time.Now(), s.Replicas)
 	n.replicas.Retain(s.Replicas)
