Test cold and evacuated replicas on fleets with failures

Cause: cold replicas and evacuations had been tested in the placing of one node only.

Change: the serving fleet of the tests knows cold replicas, evacuations and a frozen coordinator. In any second a cold replica gets at most 1.5 times its rate and five requests, on 1, 6 and 300 nodes, with the coordinator cut off, frozen or restarted, and after an evacuation.

Measured: the new tests pass. With full authority on every node, half of the nodes cut off exceed the rate (17 requests in a second, 11 allowed).

--- a/fleet/rate_limits_test.go
+++ b/fleet/rate_limits_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,7 @@
 	coordinator *coordinator.Coordinator
 	gateway     *gateway.Gateway
 	quarantine  *quarantine.Table
+	view        *view.View
 }
 
 // servingFleet is a fleet of nodes that serve callers from replicas in the same process.
@@ -57,6 +59,15 @@
 	replicas map[string]*replica.Replica
 	crashing *crashingReplicas
 	listed   map[string]catkinspindle.Replica
+	// revision is that of listed; coldUntil is when the cold replicas are no longer cold.
+	revision  int64
+	coldUntil map[string]time.Time
+	// frozen is the node that is frozen until thawed, or frozen at the next loss of a node if
+	// freezeFor is positive.
+	frozen    int
+	freezeFor time.Duration
+	freezing  sync.Mutex
+	thawed    time.Time
 }
 
 const (
@@ -72,8 +83,8 @@
 		{Name: "read", Host: rateTestHost, Prefix: "/read/", Public: true, RetryMode: catkinspindle.RetryAlways, MaxAttempts: 2, Timeout: 5 * time.Second, LatencyObjective: time.Second, Targets: []catkinspindle.RouteTarget{{Service: "app", Weight: 1}}},
 	},
 	Services: []catkinspindle.ReplicaService{
-		{Name: "pool", Engine: &catkinspindle.EngineModel{Slots: 16, KVCacheTokens: 315_000, Stride: 51, Chunk: 2048, Step: 850 * time.Microsecond, PrefillRate: 177_000, AttentionTime: 184 * time.Microsecond}},
-		{Name: "app"},
+		{Name: "pool", ColdTime: coldTime, ColdPerSecond: coldPerSecond, Engine: &catkinspindle.EngineModel{Slots: 16, KVCacheTokens: 315_000, Stride: 51, Chunk: 2048, Step: 850 * time.Microsecond, PrefillRate: 177_000, AttentionTime: 184 * time.Microsecond}},
+		{Name: "app", ColdTime: coldTime, ColdPerSecond: coldPerSecond},
 	},
 }
 
@@ -84,6 +95,10 @@
 		nodes:    make([]*servingNode, count),
 		replicas: map[string]*replica.Replica{},
 		listed:   map[string]catkinspindle.Replica{},
+
+		revision:  1,
+		coldUntil: map[string]time.Time{},
+		frozen:    -1,
 	}
 	add := func(id, service string) {
 		f.replicas[id] = replica.New(id, 3, 20*time.Millisecond)
@@ -121,13 +136,16 @@
 		planner.SetReplicas(s.Replicas)
 	})
 	v.SetRouting(rateTestRouting)
-	v.SetReplicas(f.listed, position(1), time.Time{})
-	n := &servingNode{}
+	v.SetReplicas(f.currentList(), position(f.revision), time.Time{})
+	n := &servingNode{view: v}
 	n.quarantine = quarantine.New(quarantine.WithOnLocal(func() { n.Wake() }))
 	peers := endpoint{f.network, self.PeerAddress}
 	n.Fleet = fleet.New(self, peers, v, func(ctx context.Context) { <-ctx.Done() }, log, fleet.WithRateLimits(limits), fleet.WithQuarantine(n.quarantine),
 		fleet.WithCoordinatorChange(func(catkinspindle.Node) { n.coordinator.ReportOpenJobs() }),
-		fleet.WithNodeLost(func(dead catkinspindle.Node) { n.coordinator.RemoveNode(dead) }))
+		fleet.WithNodeLost(func(dead catkinspindle.Node) {
+			f.freezeIfDue(i)
+			n.coordinator.RemoveNode(dead)
+		}))
 	n.SetRegistered(f.members)
 	n.coordinator = coordinator.New(self, planner, peers, n.Coordinator, n.MarkUnresponsive, log, coordinator.WithRateLimits(limits, n.RateAuthority), coordinator.WithQuarantine(n.quarantine))
 	budget := retries.New(catkinspindle.RetryBudget{Window: 10 * time.Second, Min: 100}, 1)
@@ -221,6 +239,7 @@
 			if n%4 == 0 {
 				target, tokens = "/read/x", 0
 			}
+			f.awaitThaw(n % len(f.nodes))
 			statuses <- f.send(n%len(f.nodes), n, target, tokens).StatusCode
 			return nil
 		})
