Keep replicas cold when the store is restored

Callers saw: nothing yet; a restored store could send a burst to replicas that are cold, which crash under it.

Cause: the restored list states cold-left-ms as of the backup. A replica that became cold since counted as warm until its next change.

Change: what was known holds until the entry of the replica changes.

Measured: TestColdReplicas, restored list, failed before and passes.

--- a/view/availability.go
+++ b/view/availability.go
@@ -21,8 +21,8 @@
 }
 
 // SetEvacuations adopts e if it is newer than the known evacuations, and reports whether other data
-// centres are evacuated now. Replicas of a data centre that is no longer evacuated may have become cold shortly before: they
-// count as cold for as long as their service states.
+// centres are evacuated now. Replicas of a data centre that is no longer evacuated may have become
+// cold shortly before: they count as cold for as long as their service states.
 func (v *View) SetEvacuations(e catkinspindle.Evacuations) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -79,6 +79,22 @@
 	}
 }
 
+// keepCold keeps replicas cold whose entries a restored store states as they were before. The next
+// change of an entry counts again.
+func (v *View) keepCold(now time.Time, restored map[string]catkinspindle.Replica) {
+	for id, known := range v.coldUntil {
+		r, listed := restored[id]
+		if !listed || r.Incarnation != known.incarnation {
+			continue
+		}
+		known.stated = r.ColdLeft
+		if until := now.Add(min(maxColdTime, r.ColdLeft)); until.After(known.until) {
+			known.until = until
+		}
+		v.coldUntil[id] = known
+	}
+}
+
 // markReplicas sets the fields of the replicas that only this node knows.
 func (v *View) markReplicas(now time.Time, s *State) {
 	limits := map[string]float64{}
--- a/view/availability_test.go
+++ b/view/availability_test.go
@@ -106,6 +106,16 @@
 	change := func(revision int64, r catkinspindle.Replica) func(*view.View) {
 		return func(v *view.View) { v.ChangeReplicas([]view.Change{{Replica: r}}, at(revision), time.Time{}) }
 	}
+	restore := func(r catkinspindle.Replica) func(*view.View) {
+		return func(v *view.View) {
+			v.SetReplicas(map[string]catkinspindle.Replica{"a": r}, catkinspindle.Position{Era: 9, Revision: 1}, time.Time{})
+		}
+	}
+	restated := func(r catkinspindle.Replica) func(*view.View) {
+		return func(v *view.View) {
+			v.ChangeReplicas([]view.Change{{Replica: r}}, catkinspindle.Position{Era: 9, Revision: 2}, time.Time{})
+		}
+	}
 	wait := func(d time.Duration) func(*view.View) { return func(*view.View) { time.Sleep(d) } }
 	evacuate := func(revision int64, dataCentres ...string) func(*view.View) {
 		return func(v *view.View) { v.SetEvacuations(catkinspindle.NewEvacuations(at(revision), dataCentres...)) }
@@ -120,6 +130,11 @@
 		"stated to be warm":              {[]func(*view.View){change(2, cold(time.Second, 1)), change(3, cold(0, 1))}, nil},
 		"cold again":                     {[]func(*view.View){change(2, cold(time.Second, 1)), wait(2 * time.Second), change(3, cold(3*time.Second, 1)), wait(2900 * time.Millisecond)}, []string{"a"}},
 		"restarted":                      {[]func(*view.View){change(2, cold(time.Second, 1)), wait(900 * time.Millisecond), change(3, cold(time.Second, 2)), wait(900 * time.Millisecond)}, []string{"a"}},
+		"restored list, still cold":      {[]func(*view.View){change(2, cold(3*time.Second, 1)), wait(time.Second), restore(cold(0, 1)), wait(1900 * time.Millisecond)}, []string{"a"}},
+		"restored list, warm by then":    {[]func(*view.View){change(2, cold(3*time.Second, 1)), wait(time.Second), restore(cold(0, 1)), wait(2100 * time.Millisecond)}, nil},
+		"restored list, cold for longer": {[]func(*view.View){change(2, cold(time.Second, 1)), restore(cold(3*time.Second, 1)), wait(2900 * time.Millisecond)}, []string{"a"}},
+		"restored list, next statement":  {[]func(*view.View){change(2, cold(3*time.Second, 1)), restore(cold(0, 1)), restated(cold(time.Second, 1)), wait(1100 * time.Millisecond)}, nil},
+		"restored list, restarted":       {[]func(*view.View){change(2, cold(3*time.Second, 1)), restore(cold(0, 2))}, nil},
 		"evacuated":                      {[]func(*view.View){evacuate(5, "x")}, nil},
 		"after an evacuation":            {[]func(*view.View){evacuate(5, "x"), evacuate(6), wait(2900 * time.Millisecond)}, []string{"a"}},
 		"long after an evacuation":       {[]func(*view.View){evacuate(5, "x"), evacuate(6), wait(3100 * time.Millisecond)}, nil},
--- a/view/restored.go
+++ b/view/restored.go
@@ -39,6 +39,7 @@
 	restored := at.Era > s.ReplicasAt.Era
 	if restored {
 		clear(v.onProbation)
+		v.keepCold(now, next)
 		for _, r := range s.Replicas {
 			if r.Leaving {
 				v.departures.Add(now, r.Departure(), true)
