Read the gauge of cold replicas at the time of the query

Cause: the gauge was set at changes of the view, so it stayed after the replicas were no longer cold.

Change: both gauges are computed when they are read.

--- a/gatewaynode/evacuations.go
+++ b/gatewaynode/evacuations.go
@@ -7,11 +7,9 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
-	"github.com/catkinspindle/catkinspindle/view"
 )
 
-// Gauges of what this node knows: the evacuated data centres, and the replicas that were cold at the
-// last change of its view.
+// Gauges of what this node knows: the evacuated data centres and the cold replicas.
 const (
 	evacuatedMetric = "evacuated-data-centres"
 	coldMetric      = "cold-replicas"
@@ -67,14 +65,18 @@
 	}
 }
 
-// countUnavailable updates the metrics of evacuated data centres and cold replicas.
-func (n *Node) countUnavailable(s *view.State) {
-	metrics.GetOrRegisterGauge(evacuatedMetric, n.metrics).Update(int64(len(s.Evacuations.DataCentres)))
-	now, cold := time.Now(), int64(0)
-	for _, r := range s.Replicas {
-		if _, limited := r.ColdLimit(now); limited {
-			cold++
+// registerAvailabilityMetrics registers the gauges of evacuated data centres and cold replicas.
+func (n *Node) registerAvailabilityMetrics() {
+	metrics.NewRegisteredFunctionalGauge(evacuatedMetric, n.metrics, func() int64 {
+		return int64(len(n.view.State().Evacuations.DataCentres))
+	})
+	metrics.NewRegisteredFunctionalGauge(coldMetric, n.metrics, func() (cold int64) {
+		now := time.Now()
+		for _, r := range n.view.State().Replicas {
+			if _, limited := r.ColdLimit(now); limited {
+				cold++
+			}
 		}
-	}
-	metrics.GetOrRegisterGauge(coldMetric, n.metrics).Update(cold)
+		return cold
+	})
 }
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -137,6 +137,7 @@
 		reservations.WithSilence(func(r catkinspindle.Replica) bool { return n.gateway.MostSilent(r) }))
 	n.retryBudget = retries.New(s.Retry, 1)
 	n.view = view.New(n.viewChanged, view.WithProbation(probationHeartbeats*s.ReplicaHeartbeat))
+	n.registerAvailabilityMetrics()
 	n.gateway = gateway.New(n.view, n, n.replicas, n.reserver, n.retryBudget,
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithConfigExpected(func() bool { return !n.storeFailing.Load() }),
@@ -339,7 +340,6 @@
 		n.planner.SetServices(s.Table.Routing().Services)
 		n.listeners.SetLimits(s.Table.Routing().Limits)
 	}
-	n.countUnavailable(s)
 	n.planner.SetReplicas(s.Replicas)
 	n.rateLimits.Prune(time.Now(), s.Replicas)
 	n.replicas.Retain(s.Replicas)
