Keep the rate limit of a replica on nodes with an old list

Cause: a node that had been frozen took the list of a restored store, with an incarnation that had crashed since. The limit was known for the next incarnation only, so the listed one counted as unlimited, and the node passed its list on to the others.

Change: the limit of a later incarnation holds for an earlier one too.

--- a/ratelimits/table.go
+++ b/ratelimits/table.go
@@ -150,7 +150,8 @@
 }
 
 // Limit returns the rate limit of r in requests per second, raised to the minimum rate. limited is
-// false when r has none.
+// false when r has none. The limit of a later incarnation holds too: r is then from an old list, and
+// requests to it reach the later one.
 func (t *Table) Limit(r catkinspindle.Replica) (perSecond float64, limited bool) {
 	if t.limitedCount.Load() == 0 {
 		return 0, false
@@ -158,7 +159,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[r.ID]
-	if !ok || e.incarnation != r.Incarnation || !e.limited {
+	if !ok || e.incarnation < r.Incarnation || !e.limited {
 		return 0, false
 	}
 	return catkinspindle.RateLimit{PerSecond: e.perSecond}.WithMinimum().PerSecond, true
