Keep a restarted replica cold on nodes with an old list

Cause: an old list states another incarnation, whose entry was not cold, and ended the cold time of the later one.

Change: what an earlier incarnation states is not used.

Measured: TestColdReplicas, old list of the same era, failed before and passes.

--- a/view/availability.go
+++ b/view/availability.go
@@ -69,8 +69,8 @@
 // that is repeated without a change was made when it was first seen.
 func (v *View) observeCold(now time.Time, r catkinspindle.Replica) {
 	known, ok := v.coldUntil[r.ID]
-	if ok && known.incarnation == r.Incarnation && known.stated == r.ColdLeft {
-		return
+	if ok && (known.incarnation > r.Incarnation || (known.incarnation == r.Incarnation && known.stated == r.ColdLeft)) {
+		return // Unchanged, or from an old list.
 	}
 	if r.ColdLeft > 0 {
 		v.coldUntil[r.ID] = coldPeriod{r.Incarnation, r.ColdLeft, now.Add(min(maxColdTime, r.ColdLeft))}
--- a/view/availability_test.go
+++ b/view/availability_test.go
@@ -135,6 +135,9 @@
 		"restored list, cold for longer": {[]func(*view.View){change(2, cold(time.Second, 1)), restore(cold(3*time.Second, 1)), wait(2900 * time.Millisecond)}, []string{"a"}},
 		"restored list, next statement":  {[]func(*view.View){change(2, cold(3*time.Second, 1)), restore(cold(0, 1)), restated(cold(time.Second, 1)), wait(1100 * time.Millisecond)}, nil},
 		"restored list, restarted":       {[]func(*view.View){change(2, cold(3*time.Second, 1)), restore(cold(0, 2))}, nil},
+		"old list of the same era": {[]func(*view.View){change(2, cold(3*time.Second, 2)), func(v *view.View) {
+			v.SetReplicas(map[string]catkinspindle.Replica{"a": cold(0, 1)}, at(3), time.Time{})
+		}, wait(2900 * time.Millisecond)}, []string{"a"}},
 		"evacuated":                      {[]func(*view.View){evacuate(5, "x")}, nil},
 		"after an evacuation":            {[]func(*view.View){evacuate(5, "x"), evacuate(6), wait(2900 * time.Millisecond)}, []string{"a"}},
 		"long after an evacuation":       {[]func(*view.View){evacuate(5, "x"), evacuate(6), wait(3100 * time.Millisecond)}, nil},
