Inject evacuations and cold replicas in the soak

Cause: the soak knew neither.

Change: a data centre is evacuated and a replica becomes cold at times. After the faults, and the planned stops that must cut nothing, both are in force while one node is stopped and one killed: no request reaches the evacuated replicas and the cold one gets its rate.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -33,6 +33,8 @@
 	// grace is the time that a node has for a planned stop. Requests in flight get 0.92 of it,
 	// which is longer than their deadline, so that none is cut even on a slow machine.
 	grace = 8 * time.Second
+	// evacuationTime is the time within which an evacuation must take effect. No check depends on it.
+	evacuationTime = 5 * time.Second
 )
 
 // process is a node: a process of the real program with its own settings file.
@@ -42,6 +44,7 @@
 	// storeProxy is the proxy to the store, callersProxy the one in front of the callers' port.
 	storeProxy, callersProxy *proxy
 	readyAddress             string
+	metricsAddress           string
 	cmd                      *exec.Cmd
 	// incarnation is the number of starts so far.
 	incarnation atomic.Int64
@@ -168,7 +171,7 @@
 		ports[i] = f.freePort()
 	}
 	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
-	n := &process{name: name, settingsFile: filepath.Join(f.dir, name+".json"), readyAddress: address(ports[1])}
+	n := &process{name: name, settingsFile: filepath.Join(f.dir, name+".json"), readyAddress: address(ports[1]), metricsAddress: address(ports[4])}
 	var err error
 	if n.storeProxy, err = newProxy(f.site.StoreAddress()); err != nil {
 		f.t.Fatal(err)
@@ -178,8 +181,8 @@
 	}
 	err = site.WriteSettings(n.settingsFile, catkinspindle.GatewaySettings{
 		Name: name, DataCentre: "dc", Store: n.storeProxy.address(),
-		Callers: address(ports[0]), Ready: n.readyAddress, Addresses: address(ports[2]), Peers: address(ports[3]), Metrics: address(ports[4]),
-		CPUShare: 1, MemoryMB: 256, Grace: grace,
+		Callers: address(ports[0]), Ready: n.readyAddress, Addresses: address(ports[2]), Peers: address(ports[3]), Metrics: n.metricsAddress,
+		CPUShare: 1, MemoryMB: 256, Grace: grace, EvacuationTime: evacuationTime,
 		Retry: catkinspindle.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Min: 100},
 	})
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,8 +59,10 @@
 	// limitRNG draws the rate limits. It has its own sequence, so that the other faults of a
 	// seed do not depend on it.
 	limitRNG *rand.Rand
-	group    errgroup.Group
-	routes   []map[string]any
+	// availabilityRNG is the same for evacuations and cold replicas.
+	availabilityRNG *rand.Rand
+	group           errgroup.Group
+	routes          []map[string]any
 }
 
 func TestSoak(t *testing.T) {
@@ -97,8 +99,9 @@
 	if t.Failed() {
 		return
 	}
-	s := &schedule{fleet: f, callers: &callers{fleet: f, inFlight: map[string]answer{}, deadly: deadlyKinds[seed%uint64(len(deadlyKinds))]}, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1))}
+	s := &schedule{fleet: f, callers: &callers{fleet: f, inFlight: map[string]answer{}, deadly: deadlyKinds[seed%uint64(len(deadlyKinds))]}, rng: rand.New(rand.NewPCG(seed, 0)), limitRNG: rand.New(rand.NewPCG(seed, 1)), availabilityRNG: rand.New(rand.NewPCG(seed, 2))}
 	s.addRoute()
+	s.moveReplicas()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var callerGroup errgroup.Group
@@ -115,12 +118,14 @@
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
 		s.injectFault()
 		s.changeRateLimit()
+		s.changeAvailability()
 		time.Sleep(time.Duration(50+s.rng.IntN(300)) * time.Millisecond)
 	}
 	_ = s.group.Wait() // The faults report their errors to the test.
 	s.clearFaults()
 	held := s.awaitHolds()
 	s.checkPlannedStops()
+	s.checkAvailability()
 	cancel()
 	_ = callerGroup.Wait() // Callers record their errors as answers.
 	s.checkRecovery()
@@ -280,6 +285,8 @@
 	for _, r := range s.limitedReplicas() {
 		r.SetRateLimit(-1)
 	}
+	s.site.Evacuate(otherDataCentre, false)
+	s.site.CoolReplica(coldReplica, 0)
 	s.awaitReady()
 }
 
