--- a/ratelimits/table_test.go
+++ b/ratelimits/table_test.go
@@ -34,11 +34,11 @@
 		wantLimited bool
 		wantRate    float64
 	}{
-		"stated":                             {[]step{{0, 1, 1, stated(1.6)}}, true, 1.6},
-		"changed":                            {[]step{{0, 1, 1, stated(1.6)}, {2, 3, 1, stated(40)}}, true, 40},
-		"not stated by a later answer":       {[]step{{0, 1, 1, stated(1.6)}, {2, 3, 1, none}}, false, 0},
-		"not stated by an earlier request":   {[]step{{0, 2, 1, stated(1.6)}, {1, 3, 1, none}}, true, 1.6},
-		"malformed later":                    {[]step{{0, 1, 1, stated(1.6)}, {2, 3, 1, catkinspindle.RateLimit{Malformed: "x"}}}, true, 1.6},
+		"stated":                           {[]step{{0, 1, 1, stated(1.6)}}, true, 1.6},
+		"changed":                          {[]step{{0, 1, 1, stated(1.6)}, {2, 3, 1, stated(40)}}, true, 40},
+		"not stated by a later answer":     {[]step{{0, 1, 1, stated(1.6)}, {2, 3, 1, none}}, false, 0},
+		"not stated by an earlier request": {[]step{{0, 2, 1, stated(1.6)}, {1, 3, 1, none}}, true, 1.6},
+		"malformed later":                  {[]step{{0, 1, 1, stated(1.6)}, {2, 3, 1, catkinspindle.RateLimit{Malformed: "x"}}}, true, 1.6},
 		// Requests to the replica as an old list has it reach the later incarnation.
 		"stated by the previous incarnation": {[]step{{0, 1, 2, stated(1.6)}, {0, 2, 1, stated(9)}}, true, 1.6},
 		"not stated by the next incarnation": {[]step{{0, 1, 1, stated(1.6)}, {2, 3, 2, none}}, true, 1.6},
