--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -1,13 +1,16 @@
 package gateway_test
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/gateway"
 	"github.com/catkinspindle/catkinspindle/view"
 )
 
@@ -40,7 +43,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := &fakeCluster{steps: []scriptedAnswer{okAnswer}, delays: []time.Duration{tt.delay, 0}, permits: tt.permit, reserveTime: tt.reserve}
-				g := newGateway(w, w, 9, true)
+				registry := metrics.NewRegistry()
+				g := newGateway(w, w, 9, true, gateway.WithMetrics(registry))
 				config := routing()
 				config.Version, config.Services = 2, []catkinspindle.ReplicaService{{Name: "s", ColdTime: time.Minute, ColdPerSecond: 1}}
 				w.view.SetRouting(config)
@@ -49,6 +53,13 @@
 				if answer := serveRequest(g, "/any/"); answer.Code != 200 {
 					t.Errorf("status %d", answer.Code)
 				}
+				kept := int64(0)
+				if strings.Contains(name, "cold") && tt.want != "r1" {
+					kept = 1
+				}
+				if diff := cmp.Diff(kept, metrics.GetOrRegisterCounter("requests-kept-from-cold-replicas", registry).Count()); diff != "" {
+					t.Errorf("requests kept from cold replicas (-want +got):\n%s", diff)
+				}
 				if diff := cmp.Diff([]string{tt.want}, w.sentTo()); diff != "" {
 					t.Errorf("replicas (-want +got):\n%s", diff)
 				}
