--- a/gatewaynode/evacuations.go
+++ b/gatewaynode/evacuations.go
@@ -7,11 +7,13 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
-	"github.com/catkinspindle/catkinspindle/view"
 )
 
-// evacuatedMetric is the number of evacuated data centres that this node knows of.
-const evacuatedMetric = "evacuated-data-centres"
+// Gauges of what this node knows: the evacuated data centres and the cold replicas.
+const (
+	evacuatedMetric = "evacuated-data-centres"
+	coldMetric      = "cold-replicas"
+)
 
 // evacuationsSink passes the evacuations in the store to the view. Each watch of the store has its own.
 type evacuationsSink struct {
@@ -63,7 +65,18 @@
 	}
 }
 
-// countEvacuated updates the metric of the evacuated data centres.
-func (n *Node) countEvacuated(s *view.State) {
-	metrics.GetOrRegisterGauge(evacuatedMetric, n.metrics).Update(int64(len(s.Evacuations.DataCentres)))
+// registerAvailabilityMetrics registers the gauges of evacuated data centres and cold replicas.
+func (n *Node) registerAvailabilityMetrics() {
+	metrics.NewRegisteredFunctionalGauge(evacuatedMetric, n.metrics, func() int64 {
+		return int64(len(n.view.State().Evacuations.DataCentres))
+	})
+	metrics.NewRegisteredFunctionalGauge(coldMetric, n.metrics, func() (cold int64) {
+		now := time.Now()
+		for _, r := range n.view.State().Replicas {
+			if _, limited := r.ColdLimit(now); limited {
+				cold++
+			}
+		}
+		return cold
+	})
 }
