Cut off callers who stop reading when their memory is needed

Cause: an answer of up to 256 KiB was written without a deadline, so that a caller who stopped reading kept it, its goroutine and a connection to the replica without end. When the memory for answers was used up, events of sound streams were broken off while callers who had stopped reading kept theirs.

Change: holders of the budget record when bytes were last read or written. If an answer would fail for lack of bytes, the holders that have made no progress for the longest time, and for a second at least, are cut off, as many as are needed and none if that would not be enough. Every write to a caller has a deadline. A complete plain answer gives its connection to the replica back before it is written.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -56,10 +57,15 @@
 	if answer.Status < http.StatusInternalServerError {
 		a.result.Outcome = catkinspindle.OutcomeDone
 	}
+	// A caller that reads slowly occupies no connection to the replica and does not make it look silent.
+	_ = answer.Body.Close()
+	x.gateway.silence.End(a.replica, a.placement.JobID)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	x.w.WriteHeader(answer.Status)
-	if _, err := x.w.Write(a.body); err != nil {
-		return true, x.fail(reasonCallerGone, "client disconnected")
+	for chunk := range slices.Chunk(a.body, writeChunk) {
+		if f := x.write(a, chunk, false); f != nil {
+			return true, f
+		}
 	}
 	return true, nil
 }
@@ -73,17 +79,12 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	x.w.WriteHeader(answer.Status)
-	control := http.NewResponseController(x.w)
 	remaining := io.LimitReader(a.metered.ReadCloser, maxPlainBytes-int64(len(chunk))+1)
 	var buffer []byte
 	for forwarded := 0; ; {
-		err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-		if err == nil {
-			_, err = x.w.Write(chunk)
-		}
-		if err != nil {
+		if f := x.write(a, chunk, false); f != nil {
 			a.result.Outcome = catkinspindle.OutcomeGivenUp
-			return false, x.fail(reasonCallerGone, "client disconnected")
+			return false, f
 		}
 		forwarded += len(chunk)
 		if buffer == nil {
@@ -112,7 +113,7 @@
 // newChunk returns a buffer for the rest of an answer whose begin has been forwarded.
 func (a *attempt) newChunk() []byte {
 	a.metered.release()
-	if a.metered.reserve(maxChunk) {
+	if a.metered.tryReserve(maxChunk) {
 		return make([]byte, maxChunk)
 	}
 	return make([]byte, readChunk)
@@ -141,7 +142,6 @@
 
 // forwardEvents forwards complete events as they arrive.
 func (x *exchange) forwardEvents(a *attempt, t *takeover) (bool, *catkinspindle.Failure) {
-	control := http.NewResponseController(x.w)
 	received, resumed := 0, x.responseBegun
 	commentBytes := 0
 	for {
@@ -189,7 +189,7 @@
 			}
 			x.recordEvent()
 		}
-		if f := x.writeEvent(control, a, event); f != nil {
+		if f := x.writeEvent(a, event); f != nil {
 			return false, f
 		}
 		if !event.CommentOnly {
@@ -211,21 +211,14 @@
 }
 
 // writeEvent writes an event of a to the caller.
-func (x *exchange) writeEvent(control *http.ResponseController, a *attempt, event eventstream.Event) *catkinspindle.Failure {
+func (x *exchange) writeEvent(a *attempt, event eventstream.Event) *catkinspindle.Failure {
 	if !x.responseBegun {
 		x.beginResponse(a.answer)
 		x.w.WriteHeader(a.answer.Status)
 	}
-	err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	if err == nil {
-		_, err = x.w.Write(event.Bytes)
-	}
-	if err == nil {
-		err = control.Flush()
-	}
-	if err != nil {
+	if f := x.write(a, event.Bytes, true); f != nil {
 		a.result.Outcome = catkinspindle.OutcomeGivenUp
-		return x.fail(reasonCallerGone, "client disconnected")
+		return f
 	}
 	if event.ID != "" {
 		x.lastEventID = event.ID
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -93,7 +93,7 @@
 	for len(body) <= maxBufferedBytes {
 		if len(body) == cap(body) {
 			size := min(2*cap(body), maxBufferedBytes+1)
-			if !a.metered.reserve(int64(size)) {
+			if !a.metered.tryReserve(int64(size)) {
 				a.partial = true
 				break
 			}
@@ -207,7 +207,7 @@
 		x.handleSendError(a, err)
 		return false
 	}
-	a.metered = &meteredBody{ReadCloser: answer.Body, budget: x.gateway.buffers}
+	a.metered = x.gateway.newMeteredBody(a, answer.Body)
 	answer.Body = a.metered
 	a.answer = answer
 	x.receiveBytes(a, 2*a.placement.ExpectedFirstEvent)
--- a/gateway/metered_body.go
+++ b/gateway/metered_body.go
@@ -10,42 +10,47 @@
 // WithBuffers sets the budget of the memory for answers. The default has no limit.
 func WithBuffers(b *buffers.Budget) Option { return func(g *Gateway) { g.buffers = b } }
 
-var errAnswerMemory = errors.New("memory for answers is used up")
+var (
+	errAnswerMemory = errors.New("memory for answers is used up")
+	errReplicaSlow  = errors.New("memory for answers is used up, and the answer made no progress")
+)
 
 // meteredBody is the body of an answer whose bytes are in a budget from before they are read until
 // they are released, except for the first readChunk.
 type meteredBody struct {
 	io.ReadCloser
-	budget *buffers.Budget
-	// read is the number of bytes read since the last release, taken of those in the budget.
-	read, taken int64
+	holder *buffers.Holder
+	// read is the number of bytes read since the last release.
+	read int64
 }
 
-// reserve takes what a buffer of n bytes needs.
-func (b *meteredBody) reserve(n int64) bool {
-	more := n - readChunk - b.taken
-	if more <= 0 {
-		return true
-	}
-	if !b.budget.Grow(b.taken, more) {
-		return false
+// newMeteredBody returns the metered body of the answer of a.
+func (g *Gateway) newMeteredBody(a *attempt, body io.ReadCloser) *meteredBody {
+	cutOff := func() {
+		a.cancel(errReplicaSlow)
+		g.countCutOff("replicas", cutOffMemory)
 	}
-	b.taken += more
-	return true
+	return &meteredBody{ReadCloser: body, holder: g.buffers.NewHolder(cutOff)}
 }
 
+// tryReserve takes what a buffer of n bytes needs, if it is free.
+func (b *meteredBody) tryReserve(n int64) bool { return b.holder.TryReserve(n - readChunk) }
+
 // Read implements io.Reader.
 func (b *meteredBody) Read(p []byte) (int, error) {
-	if !b.reserve(b.read + int64(len(p))) {
+	if !b.holder.Reserve(b.read + int64(len(p)) - readChunk) {
 		return 0, errAnswerMemory
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
+	if n > 0 {
+		b.holder.Progress()
+	}
 	return n, err
 }
 
 // release returns the bytes that are no longer held.
 func (b *meteredBody) release() {
-	b.budget.Release(b.taken)
-	b.read, b.taken = 0, 0
+	b.holder.Release()
+	b.read = 0
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -24,6 +24,7 @@
 			_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // It fails on closed connections only.
 		}
 		g.announceClose(x.w.Header())
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout)) // It fails on closed connections only.
 		x.status = writeFailure(x.w, f)
 	}
 	x.updateMetrics(f, total)
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -47,6 +47,8 @@
 	bodyMemoryShare = 0.2
 	// answerMemoryShare is the share of the VM's memory that the answers of replicas may take.
 	answerMemoryShare = 0.15
+	// answersHeldGauge is the name of the gauge of the bytes that answers hold.
+	answersHeldGauge = "answer-bytes-held"
 
 	secretKind = "catkinspindle-keys"
 	secretName = "fleet"
@@ -132,6 +134,7 @@
 	n.paths = paths.New(paths.WithOnLost(n.pathsChanged))
 	n.relays = relays.New(n.direct, n.paths, n.log)
 	answers := buffers.New(int64(answerMemoryShare * float64(s.MemoryMB) * (1 << 20)))
+	_ = metrics.NewRegisteredFunctionalGauge(answersHeldGauge, n.metrics, answers.Held)
 	n.replicas = replicas.New(platform.EncodeAttempt, platform.DecodeAnswer, replicas.WithBuffers(answers), replicas.WithMetrics(n.metrics), replicas.WithConnector(n.relays), replicas.WithIdleCheck(n.paths.MayReuse))
 	n.reserver = reservations.New(platform.NewOrders(platform.WithReplicaLeaving(n.replicaLeaving), platform.WithConnector(n.relays)), n.log,
 		reservations.WithSilence(func(r catkinspindle.Replica) bool { return n.gateway.MostSilent(r) }))
