Skip an evacuated or cold data centre at once

Cause: a node that learns of an evacuation, or takes replicas for cold, up to a heartbeat before or after the node that places gets placements on the idlest replicas, those of that data centre, and refuses the request after 12 of them. The limit was meant for rollouts, where ten replicas differ.

Change: when a placement cannot be used, all evacuated replicas of the service are avoided, and all cold ones if it was one of them and had no permit.

Measured: TestChangeOfDataCentreRefusesNobody with 20 replicas, 503 before and 200 now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -132,7 +132,7 @@
 	if _, usable := x.usableReplica(p.Replica); !usable {
 		// The coordinator's view differs: the replica is not yet in this node's list, or its
 		// departure has not yet reached the coordinator.
-		return nil, false, false, x.skipPlacement(a.result)
+		return nil, false, false, x.skipUnavailable(a)
 	}
 	helpers, release, err := x.reserve(a.ctx, p)
 	if err != nil {
@@ -143,7 +143,7 @@
 	// The replica may have begun to leave or a cooldown while the memory was reserved.
 	a.replica, probe, ok = x.beginAttempt(p)
 	if !ok {
-		return nil, false, false, x.skipPlacement(a.result)
+		return nil, false, false, x.skipUnavailable(a)
 	}
 	if f := x.heldFailure(); f != nil {
 		if probe {
