--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -140,7 +140,12 @@
 		return nil, false, false, x.handleReservationError(a, err)
 	}
 	a.release = release
-	// The replica may have begun to leave or a cooldown while the memory was reserved.
+	// Replicas may have begun to leave or a cooldown, or been evacuated, while the memory was reserved.
+	x.usableReplica(p.Replica)
+	if helpers, _, err = x.resolveHelpers(p); err != nil {
+		a.reservationErr = err
+		return nil, false, false, x.handleReservationError(a, err)
+	}
 	a.replica, probe, ok = x.beginAttempt(p)
 	if !ok {
 		return nil, false, false, x.skipUnavailable(a)
--- a/gateway/availability_test.go
+++ b/gateway/availability_test.go
@@ -55,3 +55,21 @@
 		})
 	}
 }
+
+// A replica may be evacuated while memory on it is reserved.
+func TestEvacuatedHelperGetsNoSegment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeCluster{steps: []scriptedAnswer{okAnswer, okAnswer}, reserveTime: time.Second}
+		g := newGateway(w, w, 9, true)
+		w.view.ChangeReplicas([]view.Change{{Replica: catkinspindle.Replica{ID: "r3", Service: "s", Address: "at-r3", DataCentre: "z"}}}, at(2), time.Time{})
+		time.AfterFunc(time.Second/2, func() { w.view.SetEvacuations(catkinspindle.NewEvacuations(at(3), "z")) })
+		serveRequest(g, "/any/")
+		for _, a := range w.attempts {
+			for _, h := range a.Helpers {
+				if h.Address == "at-r3" {
+					t.Errorf("%s was sent the request with a helper that is evacuated", a.Replica.ID)
+				}
+			}
+		}
+	})
+}
