Create the controller of a response once

Cause: each write to a caller created a controller and a function.

Change: they are created with the first write of a request.

Measured: package gateway passes, the tests of slow callers and silent replicas with the race detector.

--- a/gateway/caller_write.go
+++ b/gateway/caller_write.go
@@ -31,26 +31,28 @@
 // write writes p, a part of the answer of a, to the caller within callerWriteTimeout. If it fails, the answer has
 // no complete end.
 func (x *exchange) write(a *attempt, p []byte, flush bool) *catkinspindle.Failure {
-	control := http.NewResponseController(x.w)
-	holder := a.metered.holder
-	startedAt := time.Now()
-	progressAt := startedAt
 	// Setting deadlines fails on closed connections only, as the write does.
-	holder.BeginWrite(func() { _ = control.SetWriteDeadline(startedAt) })
-	_ = control.SetWriteDeadline(startedAt.Add(callerWriteTimeout))
+	if x.control == nil {
+		x.control = http.NewResponseController(x.w)
+		x.endWrite = func() { _ = x.control.SetWriteDeadline(time.Now()) }
+	}
+	holder := a.metered.holder
+	holder.BeginWrite(x.endWrite)
+	progressAt := time.Now()
+	_ = x.control.SetWriteDeadline(progressAt.Add(callerWriteTimeout))
 	var err error
 	for piece := range slices.Chunk(p, writeChunk) {
 		if !holder.Progress() {
 			err = errCutOff
 			break
 		}
-		progressAt = time.Now()
 		if _, err = x.w.Write(piece); err != nil {
 			break
 		}
+		progressAt = time.Now()
 	}
 	if flush && err == nil {
-		err = control.Flush()
+		err = x.control.Flush()
 	}
 	uncut := holder.EndWrite()
 	switch {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -105,6 +105,9 @@
 	broken *brokenAttempt
 	// sending is true while the request is being sent, so that its verdict is not known yet.
 	sending bool
+	// control is the controller of w, and endWrite ends a write to the caller. Both are nil before the first write.
+	control  *http.ResponseController
+	endWrite func()
 	// attemptCount counts attempts; it makes the IDs of their reservations unique.
 	attemptCount int
 }
