--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -93,7 +93,7 @@
 	for len(body) <= maxBufferedBytes {
 		if len(body) == cap(body) {
 			size := min(2*cap(body), maxBufferedBytes+1)
-			if !a.metered.reserve(int64(size)) {
+			if !a.metered.tryReserve(int64(size)) {
 				a.partial = true
 				break
 			}
@@ -132,7 +132,7 @@
 	if _, usable := x.usableReplica(p.Replica); !usable {
 		// The coordinator's view differs: the replica is not yet in this node's list, or its
 		// departure has not yet reached the coordinator.
-		return nil, false, false, x.skipPlacement(a.result)
+		return nil, false, false, x.skipUnavailable(a)
 	}
 	helpers, release, err := x.reserve(a.ctx, p)
 	if err != nil {
@@ -140,10 +140,15 @@
 		return nil, false, false, x.handleReservationError(a, err)
 	}
 	a.release = release
-	// The replica may have begun to leave or a cooldown while the memory was reserved.
+	// Replicas may have begun to leave or a cooldown, or been evacuated, while the memory was reserved.
+	x.usableReplica(p.Replica)
+	if helpers, _, err = x.resolveHelpers(p); err != nil {
+		a.reservationErr = err
+		return nil, false, false, x.handleReservationError(a, err)
+	}
 	a.replica, probe, ok = x.beginAttempt(p)
 	if !ok {
-		return nil, false, false, x.skipPlacement(a.result)
+		return nil, false, false, x.skipUnavailable(a)
 	}
 	if f := x.heldFailure(); f != nil {
 		if probe {
@@ -207,7 +212,7 @@
 		x.handleSendError(a, err)
 		return false
 	}
-	a.metered = &meteredBody{ReadCloser: answer.Body, budget: x.gateway.buffers}
+	a.metered = x.gateway.newMeteredBody(a, answer.Body)
 	answer.Body = a.metered
 	a.answer = answer
 	x.receiveBytes(a, 2*a.placement.ExpectedFirstEvent)
