Bound what is being read from callers by one budget

Only bodies that had been read were counted, so that many at once took a node over its memory; connections were not bounded, and the process of the own interface had no memory limit for its runtime.

Package inbound has one budget of memory and connections for both interfaces. Headers and bodies count from the first byte and grow only into what was granted. When it is short, the caller without progress for the longest is evicted; refusals close the connection. Log line 5007 and four counters show it.

--- a/callers/chat.go
+++ b/callers/chat.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	data, err := readBody(r, s.limits.MaxBody)
+	data, err := s.readBody(r, s.limits.MaxBody, decodedPromptCopies)
 	if err != nil {
 		return nil, err
 	}
--- a/callers/plain.go
+++ b/callers/plain.go
@@ -28,7 +28,7 @@
 	if len(key) > maxKeyLength {
 		return nil, badRequest("header %s: over %d bytes", IdempotencyKeyHeader, maxKeyLength)
 	}
-	data, err := readBody(r, maxPlainBody)
+	data, err := s.readBody(r, maxPlainBody, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/callers/request.go
+++ b/callers/request.go
@@ -1,15 +1,24 @@
 package callers
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/inbound"
+)
+
+const (
+	// memoryRetryAfter is the Retry-After of requests for which there is no memory.
+	memoryRetryAfter = time.Second
+	// decodedPromptCopies is how often the bytes of a prompt are held beside the body: in its messages and
+	// joined.
+	decodedPromptCopies = 2
 )
 
 func badRequest(format string, args ...any) error {
@@ -67,16 +76,43 @@
 	return time.Now().Add(d), nil
 }
 
-// readBody reads the request body. A body longer than limit bytes is a ReasonTooLarge
-// failure.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+type bodyKey struct{}
+
+// requestBody is the body of a request and the memory that it takes until the request has been answered.
+type requestBody struct {
+	w       http.ResponseWriter
+	holding *inbound.Holding
+}
+
+// withBody releases the memory of the request's body after the request.
+func (s *Server) withBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := &requestBody{w: w}
+		defer func() { body.holding.Close() }()
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)))
+	})
+}
+
+// readBody reads the request body. A body longer than limit bytes is a ReasonTooLarge failure. copies is how
+// often its bytes are held once they are decoded.
+func (s *Server) readBody(r *http.Request, limit, copies int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body := r.Context().Value(bodyKey{}).(*requestBody)
+	data, holding, err := s.inbound.Read(body.w, r, limit)
+	body.holding = holding
+	if err == nil && copies > 0 {
+		err = holding.Grow(copies * int64(len(data)))
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		return data, nil
+	case errors.Is(err, inbound.ErrExhausted), errors.Is(err, inbound.ErrEvicted):
+		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "body: %w", err).WithRetryAfter(memoryRetryAfter)
+	case errors.As(err, &tooLarge):
 		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonTooLarge, "body is over %d bytes", limit)
 	}
-	if err != nil {
-		return nil, badRequest("body: %w", err)
-	}
-	return data, nil
+	return nil, badRequest("body: %w", err)
 }
--- a/callers/server.go
+++ b/callers/server.go
@@ -19,6 +19,7 @@
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/httpserver"
+	"github.com/catkinspindle/catkinspindle/inbound"
 	"github.com/catkinspindle/catkinspindle/limits"
 )
 
@@ -53,10 +54,17 @@
 	limits    catkinspindle.Limits
 	metrics   metrics.Registry
 	log       *slog.Logger
+	inbound   *inbound.Budget
 	http      *httpserver.Server
 	group     *errgroup.Group
 }
 
+// Option configures a server.
+type Option func(*Server)
+
+// WithInbound sets the budget of connections and of requests that are being read. The default has no limit.
+func WithInbound(b *inbound.Budget) Option { return func(s *Server) { s.inbound = b } }
+
 // New returns a server that listens on the address listen once it is started.
 func New(
 	address string,
@@ -68,8 +76,9 @@
 	requestLimits catkinspindle.Limits,
 	registry metrics.Registry,
 	log *slog.Logger,
+	opts ...Option,
 ) *Server {
-	return &Server{
+	s := &Server{
 		address:   address,
 		snapshot:  snapshot,
 		prompts:   prompts,
@@ -79,7 +88,12 @@
 		limits:    requestLimits,
 		metrics:   registry,
 		log:       log,
+		inbound:   inbound.New(),
+	}
+	for _, opt := range opts {
+		opt(s)
 	}
+	return s
 }
 
 // Start implements catkinspindle.Service.
@@ -88,7 +102,7 @@
 	if err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
-	s.http = httpserver.New(s.withReadTimeout(s.Handler()), s.log, httpserver.WithMetrics(s.metrics))
+	s.http = httpserver.New(s.withReadTimeout(s.Handler()), s.log, httpserver.WithMetrics(s.metrics), httpserver.WithInbound(s.inbound))
 	s.http.SetLimits(catkinspindle.TrafficLimits{MaxHeader: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	s.group = &errgroup.Group{}
 	s.group.Go(func() error { return s.http.Serve(listener) })
@@ -135,7 +149,7 @@
 // and readiness.
 func (s *Server) newHandler(name string, e endpoint.Endpoint, dec kithttp.DecodeRequestFunc, enc kithttp.EncodeResponseFunc) http.Handler {
 	e = endpoint.Chain(s.withMetrics(name), s.requireReady)(e)
-	return s.recoverPanics(name, kithttp.NewServer(e, dec, enc, kithttp.ServerErrorEncoder(s.encodeError)))
+	return s.withBody(s.recoverPanics(name, kithttp.NewServer(e, dec, enc, kithttp.ServerErrorEncoder(s.encodeError))))
 }
 
 // requireReady rejects requests until the node has a fleet configuration.
--- a/commands/node.go
+++ b/commands/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinspindle/catkinspindle/demo"
 	"github.com/catkinspindle/catkinspindle/keys"
+	"github.com/catkinspindle/catkinspindle/machine"
 	"github.com/catkinspindle/catkinspindle/node"
 	"github.com/catkinspindle/catkinspindle/settings"
 )
@@ -29,6 +30,7 @@
 			if err != nil {
 				return inputError{err}
 			}
+			machine.LimitRuntime(machine.Memory())
 			n, err := node.New(cfg, log)
 			if err != nil {
 				return inputError{err}
--- a/events/event.go
+++ b/events/event.go
@@ -33,6 +33,7 @@
 	ConnectionClosed    Event = 5004
 	HandlerPanicked     Event = 5005
 	RequestCrossedClose Event = 5006
+	CallersLimited      Event = 5007
 	LinesDropped        Event = 1006
 	LibraryMessage      Event = 1007
 	PeerMalformed       Event = 3001
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/inbound"
 )
 
 const (
@@ -51,7 +52,8 @@
 	priority      int
 	envelope      catkinspindle.Envelope
 	replicas      map[string]catkinspindle.Replica
-	bodyBytes     int64
+	// body is the memory of the request body; nil if there is none.
+	body *inbound.Holding
 	// bodyRead is true once the whole body has been read.
 	bodyRead bool
 	// keys are the keys under which crashes of replicas are recorded. isTrial is true if the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/buffers"
 	"github.com/catkinspindle/catkinspindle/cooldown"
+	"github.com/catkinspindle/catkinspindle/inbound"
 	"github.com/catkinspindle/catkinspindle/quarantine"
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 	"github.com/catkinspindle/catkinspindle/retries"
@@ -34,6 +35,7 @@
 )
 
 const (
+	defaultMaxBodyBytes = 64 << 20
 	// notReadyRetryAfter is the Retry-After of a node that has no configuration because the
 	// store was unavailable when it started; such outages last for seconds.
 	notReadyRetryAfter = 2500 * time.Millisecond
@@ -53,8 +55,8 @@
 	// unreadBodyTimeout bounds how long net/http waits for the body of a refused request before it
 	// sends the refusal. A caller that has sent the body by then may keep its connection.
 	unreadBodyTimeout = 200 * time.Millisecond
-	// readChunk is the buffer size in bytes that is assumed for a request body of unknown
-	// length, and the number of bytes that are drained from a refusal.
+	// readChunk is the number of bytes of an answer that are in no budget, and of those that are drained
+	// from a refusal.
 	readChunk = 4 << 10
 )
 
@@ -121,12 +123,11 @@
 	refusing         atomic.Bool
 	// end is when the node ends all requests because it stops; nil while it does not. ended is
 	// done from then on.
-	end           atomic.Pointer[time.Time]
-	ended         context.Context
-	endRequests   context.CancelFunc
-	answerTimes   *answerTimes
-	heldBodyBytes atomic.Int64
-	maxBodyBytes  int64
+	end         atomic.Pointer[time.Time]
+	ended       context.Context
+	endRequests context.CancelFunc
+	answerTimes *answerTimes
+	inbound     *inbound.Budget
 }
 
 // Option configures a Gateway.
@@ -139,8 +140,11 @@
 func WithMetrics(r metrics.Registry) Option { return func(g *Gateway) { g.metrics = r } }
 
 // WithMaxBodyBytes sets the maximum number of bytes of request bodies in memory; 64 MiB if
-// it is not given.
-func WithMaxBodyBytes(n int64) Option { return func(g *Gateway) { g.maxBodyBytes = n } }
+// neither it nor WithInbound is given.
+func WithMaxBodyBytes(n int64) Option { return WithInbound(inbound.New(inbound.WithMaxBytes(n))) }
+
+// WithInbound sets the budget of request bodies.
+func WithInbound(b *inbound.Budget) Option { return func(g *Gateway) { g.inbound = b } }
 
 // WithRateLimits sets the table of the replicas' rate limits. report is called with a replica whose
 // limit the placing node may not know.
@@ -156,7 +160,7 @@
 
 // New returns a Gateway.
 func New(v *view.View, p Placer, s Sender, m ReservationManager, b *retries.Budget, codec Codec, log *slog.Logger, opts ...Option) *Gateway {
-	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, answerTimes: newAnswerTimes(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, silence: silence.New(), quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, maxBodyBytes: 64 << 20}
+	g := &Gateway{view: v, placer: p, sender: s, reserver: m, budget: b, codec: codec, log: log, metrics: metrics.NewRegistry(), configExpected: func() bool { return true }, answerTimes: newAnswerTimes(), cooldown: cooldown.New(), rateLimits: ratelimits.New(), onRateLimit: func(catkinspindle.Replica) {}, silence: silence.New(), quarantine: quarantine.New(), prober: noProber{}, allowTrial: func(context.Context, catkinspindle.RequestKey) bool { return false }, inbound: inbound.New(inbound.WithMaxBytes(defaultMaxBodyBytes))}
 	g.ended, g.endRequests = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(g)
@@ -241,11 +245,11 @@
 		}
 	}
 	bodyEnd := x.arrivedAt.Add(shorterTimeout(route.Timeout, g.codec.Timeout(r)))
-	body, err := g.readBodyUntil(bodyEnd, x.w, r, state.Table.Routing().Limits.MaxBody)
+	body, err := x.readBodyUntil(bodyEnd, r, state.Table.Routing().Limits.MaxBody)
 	if err != nil {
 		return g.bodyFailure(err)
 	}
-	x.bodyRead, x.bodyBytes = true, int64(len(body))
+	x.bodyRead = true
 	x.envelope, err = g.codec.Request(r, body)
 	if err != nil {
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "%w", err)
@@ -279,8 +283,6 @@
 	return state
 }
 
-var errBodyMemory = errors.New("memory for request bodies is used up")
-
 // shorterTimeout returns the shorter one of a route's and a caller's timeout that are positive.
 func shorterTimeout(route, caller time.Duration) time.Duration {
 	if caller > 0 && (route <= 0 || caller < route) {
@@ -289,20 +291,21 @@
 	return route
 }
 
-// readBodyUntil is readBody until a time or the end of all requests.
-func (g *Gateway) readBodyUntil(end time.Time, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBodyUntil reads a body of at most limit bytes until a time or the end of all requests.
+func (x *exchange) readBodyUntil(end time.Time, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	// It fails on closed connections only, as the read does.
-	setDeadline := func(t time.Time) { _ = http.NewResponseController(w).SetReadDeadline(t) }
+	setDeadline := func(t time.Time) { _ = http.NewResponseController(x.w).SetReadDeadline(t) }
 	setDeadline(end)
 	aborted := make(chan struct{})
-	stop := context.AfterFunc(g.ended, func() {
+	stop := context.AfterFunc(x.gateway.ended, func() {
 		defer close(aborted)
 		setDeadline(time.Now())
 	})
-	body, err := g.readBody(w, r, limit)
+	body, holding, err := x.gateway.inbound.Read(x.w, r, limit)
+	x.body = holding
 	if !stop() {
 		<-aborted
 	}
@@ -313,49 +316,17 @@
 	return body, err
 }
 
-// readBody reads a body of at most limit bytes; a limit of zero means no limit.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	if g.heldBodyBytes.Load()+max(readChunk, r.ContentLength) > g.maxBodyBytes {
-		return nil, errBodyMemory
-	}
-	src := io.Reader(r.Body)
-	if limit > 0 {
-		src = http.MaxBytesReader(w, r.Body, limit)
-	}
-	var (
-		body []byte
-		err  error
-	)
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(src, body)
-	} else {
-		body, err = io.ReadAll(src)
-	}
-	if err != nil {
-		return nil, err
-	}
-	g.heldBodyBytes.Add(int64(len(body)))
-	return body, nil
-}
-
 func (g *Gateway) bodyFailure(err error) *catkinspindle.Failure {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, inbound.ErrExhausted), errors.Is(err, inbound.ErrEvicted):
+		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "read request body: %w", err).WithRetryAfter(stoppingRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded) && g.ended.Err() != nil:
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "the node stopped: read request body: %w", err).WithRetryAfter(stoppingRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonDeadline, "read request body: %w", err)
 	case errors.As(err, &tooLarge):
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonTooLarge, "read request body: %w", err)
-	case errors.Is(err, errBodyMemory):
-		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonOverload, "read request body: %w", err).WithRetryAfter(stoppingRetryAfter)
 	}
 	return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonBadRequest, "read request body: %w", err)
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -16,7 +16,7 @@
 // it aborts the connection, so that a truncated answer does not look complete to the caller.
 func (x *exchange) finish(r *http.Request, f *catkinspindle.Failure) {
 	g := x.gateway
-	g.heldBodyBytes.Add(-x.bodyBytes)
+	x.body.Close()
 	total := time.Since(x.arrivedAt)
 	abort := f != nil && (x.responseBegun || f.Reason == reasonCallerGone)
 	if f != nil && !abort {
--- a/gateway_settings.go
+++ b/gateway_settings.go
@@ -19,7 +19,10 @@
 	// fraction, and memory in megabytes.
 	CPUShare float64
 	MemoryMB int
-	Retry    RetryBudget
+	// MaxDescriptors is the number of descriptors that the process may open; zero for that of the
+	// operating system.
+	MaxDescriptors int
+	Retry          RetryBudget
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
 	// ReplicaHeartbeat is the interval at which replicas renew their entries in the
--- a/gatewaynode/listeners.go
+++ b/gatewaynode/listeners.go
@@ -16,6 +16,7 @@
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/addresses"
 	"github.com/catkinspindle/catkinspindle/httpserver"
+	"github.com/catkinspindle/catkinspindle/inbound"
 	"github.com/catkinspindle/catkinspindle/platform"
 )
 
@@ -37,6 +38,7 @@
 	callers  *httpserver.Server
 	// handlers has the handlers of the interfaces without configured limits, by address.
 	handlers map[string]http.Handler
+	inbound  *inbound.Budget
 	log      *slog.Logger
 	group    errgroup.Group
 
@@ -45,7 +47,7 @@
 	netListeners []net.Listener
 }
 
-func newListeners(s catkinspindle.GatewaySettings, callers http.Handler, addressHandler *addresses.Handler, registry metrics.Registry, log *slog.Logger) *listeners {
+func newListeners(s catkinspindle.GatewaySettings, callers http.Handler, addressHandler *addresses.Handler, requests *inbound.Budget, registry metrics.Registry, log *slog.Logger) *listeners {
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+platform.ReadyPath, addressHandler.ServeReadiness)
 	addressesMux := http.NewServeMux()
@@ -59,7 +61,8 @@
 	}
 	return &listeners{
 		settings: s,
-		callers:  httpserver.New(callers, log, httpserver.WithOnIdleClosed(countIdleClosed), httpserver.WithMetrics(registry)),
+		callers:  httpserver.New(callers, log, httpserver.WithOnIdleClosed(countIdleClosed), httpserver.WithMetrics(registry), httpserver.WithInbound(requests)),
+		inbound:  requests,
 		handlers: map[string]http.Handler{s.Ready: readyMux, s.Addresses: addressesMux, s.Metrics: metricsMux},
 		log:      log,
 	}
@@ -68,7 +71,7 @@
 // Start opens all listeners and starts to serve them.
 func (l *listeners) Start(ctx context.Context) error {
 	for address, h := range l.handlers {
-		if err := l.serve(ctx, httpserver.New(h, l.log), address); err != nil {
+		if err := l.serve(ctx, httpserver.New(h, l.log, httpserver.WithInbound(l.inbound)), address); err != nil {
 			return err
 		}
 	}
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -3,6 +3,7 @@
 package gatewaynode
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -22,7 +23,9 @@
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/fleet"
 	"github.com/catkinspindle/catkinspindle/gateway"
+	"github.com/catkinspindle/catkinspindle/inbound"
 	"github.com/catkinspindle/catkinspindle/keys"
+	"github.com/catkinspindle/catkinspindle/machine"
 	"github.com/catkinspindle/catkinspindle/paths"
 	"github.com/catkinspindle/catkinspindle/peers"
 	"github.com/catkinspindle/catkinspindle/placement"
@@ -43,8 +46,6 @@
 	// joinBackoff is the mean backoff after a failed call while joining the fleet. Each
 	// backoff is jittered, so that nodes that start together do not retry together.
 	joinBackoff = 250 * time.Millisecond
-	// bodyMemoryShare is the share of the VM's memory that request bodies may take.
-	bodyMemoryShare = 0.2
 	// answerMemoryShare is the share of the VM's memory that the answers of replicas may take.
 	answerMemoryShare = 0.15
 
@@ -137,14 +138,16 @@
 		reservations.WithSilence(func(r catkinspindle.Replica) bool { return n.gateway.MostSilent(r) }))
 	n.retryBudget = retries.New(s.Retry, 1)
 	n.view = view.New(n.viewChanged, view.WithProbation(probationHeartbeats*s.ReplicaHeartbeat))
+	requests := inbound.New(inbound.WithMemory(int64(s.MemoryMB)<<20), inbound.WithDescriptors(cmp.Or(s.MaxDescriptors, machine.Descriptors())),
+		inbound.WithMetrics(n.metrics), inbound.WithLog(n.log))
 	n.gateway = gateway.New(n.view, n, n.replicas, n.reserver, n.retryBudget,
 		gateway.Codec{Key: platform.APIKey, Timeout: platform.RequestTimeout, Request: platform.DecodeRequest}, n.log,
 		gateway.WithDataCentre(s.DataCentre), gateway.WithConfigExpected(func() bool { return !n.storeFailing.Load() }),
 		gateway.WithMetrics(n.metrics), gateway.WithRateLimits(n.rateLimits, n.reportRateLimit),
 		gateway.WithQuarantine(n.quarantine, n.allowTrial), gateway.WithProber(n.replicas), gateway.WithBuffers(answers),
-		gateway.WithMaxBodyBytes(int64(bodyMemoryShare*float64(s.MemoryMB)*(1<<20))))
+		gateway.WithInbound(requests))
 	addressHandler := addresses.New(n.liveNodes, n.isReady, addressLifetime(s), platform.EncodeAddresses)
-	n.listeners = newListeners(s, n.gateway, addressHandler, n.metrics, n.log)
+	n.listeners = newListeners(s, n.gateway, addressHandler, requests, n.metrics, n.log)
 	return n
 }
 
--- a/httpserver/account.go
+++ b/httpserver/account.go
@@ -27,6 +27,10 @@
 	reasonHeaderTimeout reason = "header-timeout"
 	reasonHeaderSize    reason = "header-size"
 	reasonStop          reason = "stop"
+	// reasonEvicted means that the connection had to make room for others, reasonMemory that there was no
+	// memory left for a header.
+	reasonEvicted reason = "evicted"
+	reasonMemory  reason = "memory"
 )
 
 // Names of counters. Requests that are neither ended nor in flight have got lost.
--- a/httpserver/conn.go
+++ b/httpserver/conn.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/catkinspindle/catkinspindle/inbound"
 )
 
 const (
@@ -25,6 +27,8 @@
 	maxDiscardedBytes = 256 << 10
 	// timeoutRefusal is the response of RFC 9110, section 15.5.9, to a caller whose connection is closed.
 	timeoutRefusal = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// memoryRefusal is the response to a request for whose header there is no memory.
+	memoryRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 var errHeaderTooLarge = errors.New("request header too large")
@@ -47,6 +51,8 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// holding is what the connection takes of the server's budget.
+	holding *inbound.Holding
 
 	mu    sync.Mutex
 	phase phase
@@ -64,6 +70,8 @@
 	requests int
 	reason   reason
 	closed   bool
+	// evicted is true once the connection has to make room for others.
+	evicted bool
 	// refused is true once nothing that arrives may be served any more.
 	refused bool
 }
@@ -80,8 +88,11 @@
 			return 0, c.rejectHeader()
 		}
 		n, err := c.Conn.Read(p[:min(len(p), left)])
-		if n > 0 {
-			c.received(n)
+		if n > 0 && c.received(n) {
+			if err := c.holding.Grow(int64(n)); errors.Is(err, inbound.ErrExhausted) {
+				return 0, c.refuseHeader()
+			}
+			c.holding.Progress(n)
 		}
 		expired := errors.Is(err, os.ErrDeadlineExceeded)
 		if err != nil && !expired {
@@ -109,6 +120,17 @@
 	return max(c.maxHeader, c.server.limits.Load().MaxHeader) + readAheadBytes - c.headerBytes, c.refused
 }
 
+// refuseHeader answers a request for whose header there is no memory and closes the connection.
+func (c *conn) refuseHeader() error {
+	c.closeFor(reasonMemory)
+	c.mu.Lock()
+	c.refused = true
+	c.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(resetDelay)) // It fails on closed connections only, as the write does.
+	_, _ = io.WriteString(c.Conn, memoryRefusal)
+	return errors.Join(net.ErrClosed, c.Conn.Close())
+}
+
 // rejectHeader answers a request whose header exceeds the limit and closes the connection, because
 // net/http takes a header line that has been read in part for a malformed one and answers that.
 func (c *conn) rejectHeader() error {
@@ -123,18 +145,19 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeaderTooLarge}
 }
 
-// received records that n bytes have been read.
-func (c *conn) received(n int) {
+// received records that n bytes have been read, and returns whether they are of a header.
+func (c *conn) received(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.phase {
 	case phaseRequest:
-		return
+		return false
 	case phaseNew, phaseIdle:
 		c.startHeader()
 	case phaseHeader:
 	}
 	c.headerBytes += n
+	return true
 }
 
 // mayReadAgain is called when a read has exceeded its deadline. If it returns refuse, what arrives from
@@ -156,6 +179,8 @@
 	switch {
 	case c.server.closing.Load():
 		c.reason = reasonStop
+	case c.evicted:
+		c.reason = reasonEvicted
 	case c.phase == phaseNew, c.phase == phaseIdle:
 		c.reason = reasonIdle
 		c.server.onIdleClosed(c.server.limits.Load().IdleTimeout)
@@ -175,15 +200,37 @@
 	}
 }
 
+// evict makes room for other connections. One on which nothing has arrived is closed at once; its caller
+// may send the request again.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == phaseRequest || c.refused:
+	case c.phase == phaseNew:
+		c.refused, c.reason = true, reasonEvicted
+		_ = c.Conn.Close() // It may have been closed already.
+	default:
+		c.evicted = true
+		c.setDeadline(time.Now())
+	}
+}
+
 // refuseLate answers a request that the caller may have sent before it learns that the connection is
 // closed: it has not run. Bytes that arrive are discarded for a time, because a close with unread bytes
 // could reset the connection before the caller has read the answer.
 func (c *conn) refuseLate() {
-	_ = c.SetWriteDeadline(time.Now().Add(resetDelay)) // It fails on closed connections only, as the write does.
+	delay := resetDelay
+	c.mu.Lock()
+	if c.reason == reasonEvicted {
+		delay = lastReadTimeout // Others wait for the descriptor.
+	}
+	c.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(delay)) // It fails on closed connections only, as the write does.
 	if _, err := io.WriteString(c.Conn, timeoutRefusal); err != nil || c.CloseWrite() != nil {
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(resetDelay))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(delay))
 	n, _ := io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardedBytes)) // The caller closes, or the deadline passes.
 	if n > 0 {
 		c.server.account.requestRefused(c, n)
@@ -204,6 +251,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	defer c.holding.Close()
 	c.mu.Lock()
 	why, first := c.closeReason(), !c.closed
 	c.closed = true
@@ -251,6 +299,7 @@
 		}
 		c.phase, c.since = phaseRequest, time.Now()
 		c.requests++
+		c.holding.Serve()
 	case phaseRequest:
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -269,7 +318,7 @@
 // startHeader begins phaseHeader. The caller holds c.mu.
 func (c *conn) startHeader() {
 	limits := c.server.limits.Load()
-	c.phase, c.since, c.maxHeader = phaseHeader, time.Now(), limits.MaxHeader
+	c.phase, c.since, c.maxHeader, c.evicted = phaseHeader, time.Now(), limits.MaxHeader, false
 	c.setDeadline(c.since.Add(limits.HeaderTimeout))
 }
 
@@ -278,6 +327,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.since, c.headerBytes, c.maxHeader = p, time.Now(), 0, c.server.limits.Load().MaxHeader
+	c.holding.Wait()
 	if c.server.closing.Load() {
 		c.setDeadline(c.since)
 		return
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -19,6 +19,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/inbound"
 )
 
 // Limits where none are set.
@@ -38,6 +39,7 @@
 	server       *http.Server
 	account      *account
 	registry     metrics.Registry
+	inbound      *inbound.Budget
 	onIdleClosed func(timeout time.Duration)
 	limits       atomic.Pointer[catkinspindle.TrafficLimits]
 	closing      atomic.Bool
@@ -61,9 +63,12 @@
 // WithMetrics registers the server's counters in r.
 func WithMetrics(r metrics.Registry) Option { return func(s *Server) { s.registry = r } }
 
+// WithInbound sets the budget of connections and of the headers that are being read. The default has no limit.
+func WithInbound(b *inbound.Budget) Option { return func(s *Server) { s.inbound = b } }
+
 // New returns a server of h with default limits.
 func New(h http.Handler, log *slog.Logger, opts ...Option) *Server {
-	s := &Server{onIdleClosed: func(time.Duration) {}, registry: metrics.NewRegistry(), connections: map[*conn]struct{}{}}
+	s := &Server{onIdleClosed: func(time.Duration) {}, registry: metrics.NewRegistry(), inbound: inbound.New(), connections: map[*conn]struct{}{}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -218,16 +223,27 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: accepted, server: l.server}
+		if c.holding, err = l.server.inbound.Accept(c.evict); err == nil {
+			return c, nil
+		}
+		_ = accepted.Close() // Nothing of a request has been read.
+	}
+}
+
+func (l *listener) accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) && l.server.closing.Load() {
 		if c, err = acceptWaiting(l.Listener); err != nil {
 			err = errors.Join(l.Close(), net.ErrClosed)
 		}
 	}
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, server: l.server}, nil
+	return c, err
 }
 
 // closeWhenEmpty makes Accept close the listener once no connection waits to be accepted: the kernel resets
--- a/node/node.go
+++ b/node/node.go
@@ -19,8 +19,10 @@
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/gossip"
 	"github.com/catkinspindle/catkinspindle/homes"
+	"github.com/catkinspindle/catkinspindle/inbound"
 	"github.com/catkinspindle/catkinspindle/kernel"
 	"github.com/catkinspindle/catkinspindle/limits"
+	"github.com/catkinspindle/catkinspindle/machine"
 	"github.com/catkinspindle/catkinspindle/operators"
 	"github.com/catkinspindle/catkinspindle/paths"
 	"github.com/catkinspindle/catkinspindle/peers"
@@ -186,10 +188,19 @@
 	}
 	return errors.Join(
 		n.kernel.Register(serviceOperators, operators.New(cfg.Operators, controlState.Snapshot, configuration, n.State, n.metrics), serviceControl, serviceConfig),
-		n.kernel.Register(serviceCallers, callers.New(cfg.Callers, controlState.Snapshot, promptRouter, actionService, n.admission, cfg.Timing, cfg.Limits, n.metrics, n.log), serviceRouter, serviceActions, serviceGossip),
+		n.kernel.Register(serviceCallers, callers.New(cfg.Callers, controlState.Snapshot, promptRouter, actionService, n.admission, cfg.Timing, cfg.Limits, n.metrics, n.log, callers.WithInbound(n.newInbound())), serviceRouter, serviceActions, serviceGossip),
 	)
 }
 
+// newInbound returns the budget of what is being read from callers.
+func (n *Node) newInbound() *inbound.Budget {
+	opts := []inbound.Option{inbound.WithMemory(machine.Memory()), inbound.WithDescriptors(machine.Descriptors()), inbound.WithMetrics(n.metrics), inbound.WithLog(n.log)}
+	if bytes := n.cfg.Limits.BodyMemory; bytes > 0 {
+		opts = append(opts, inbound.WithMaxBytes(bytes))
+	}
+	return inbound.New(opts...)
+}
+
 // Start starts the services in dependency order.
 func (n *Node) Start(ctx context.Context) error {
 	if err := n.kernel.Start(ctx); err != nil {
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/gatewaynode"
 	"github.com/catkinspindle/catkinspindle/logbook"
+	"github.com/catkinspindle/catkinspindle/machine"
 	"github.com/catkinspindle/catkinspindle/platform"
 )
 
@@ -26,9 +26,6 @@
 	// settingsPollInterval is the interval at which the settings file is checked for changes
 	// that no SIGHUP announces.
 	settingsPollInterval = 2 * time.Second
-	// memoryLimitShare is the fraction of the VM's memory that is set as the soft memory limit
-	// of the Go runtime, above which garbage collection runs more often.
-	memoryLimitShare = 0.6
 
 	exitFailed   = 1
 	exitBadInput = 2
@@ -97,9 +94,7 @@
 	if err != nil {
 		return errors.Join(errBadInput, err)
 	}
-	if nodeSettings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(nodeSettings.MemoryMB) * (1 << 20)))
-	}
+	machine.LimitRuntime(int64(nodeSettings.MemoryMB) << 20)
 	logWriter := logbook.New(out)
 	log := logWriter.Logger(slog.LevelInfo)
 	logbook.SetDefault(log)
--- a/timing.go
+++ b/timing.go
@@ -60,6 +60,9 @@
 type Limits struct {
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64 `yaml:"max-body"`
+	// BodyMemory bounds the bytes of the requests of all callers together; zero for a share of the VM's
+	// memory.
+	BodyMemory int64 `yaml:"body-memory"`
 	// MaxTimeout is the longest timeout that a caller may request.
 	MaxTimeout time.Duration `yaml:"max-timeout"`
 	// MaxRequests bounds the requests in flight on a node.
