Take over the grace period at a reload

waitForStop took over the retry budget only, so that a planned stop cut streams that had the time to end after a longer grace-s was announced.

Node.Reload takes over both.

--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -82,6 +82,8 @@
 	fleet       *fleet.Fleet
 	coordinator *coordinator.Coordinator
 	outages     watchOutages
+	// grace is the time.Duration that a planned stop may take.
+	grace atomic.Int64
 	// storeFailing is true if the initial read of the store or the last attempt of retry
 	// failed.
 	storeFailing atomic.Bool
@@ -121,6 +123,7 @@
 		joined: make(chan struct{}),
 		direct: replicas.NewDialer(0),
 	}
+	n.grace.Store(int64(s.Grace))
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -407,5 +410,9 @@
 	return n.isJoined() && n.view.State().Table != nil && !n.fleet.Self().Leaving
 }
 
-// SetRetryBudget replaces the retry budget after a change of the settings.
-func (n *Node) SetRetryBudget(a catkinspindle.RetryBudget) { n.retryBudget.SetAllowance(a) }
+// Reload takes over the settings that may change while the node runs: the retry budget and the grace period
+// of a planned stop.
+func (n *Node) Reload(s catkinspindle.GatewaySettings) {
+	n.retryBudget.SetAllowance(s.Retry)
+	n.grace.Store(int64(s.Grace))
+}
--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -37,7 +37,7 @@
 // number is logged.
 func (n *Node) Stop(ctx context.Context) error {
 	startedAt := time.Now()
-	grace := n.settings.Grace
+	grace := time.Duration(n.grace.Load())
 	n.log.Info("node is leaving", events.NodeLeaving.Attr(), "in-flight", n.gateway.InFlight(), "grace", grace)
 	if n.isJoined() {
 		n.fleet.Leave()
--- a/gatewaynode/stop_test.go
+++ b/gatewaynode/stop_test.go
@@ -1,6 +1,7 @@
 package gatewaynode_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/gatewaynode"
 	"github.com/catkinspindle/catkinspindle/platform"
 	"github.com/catkinspindle/catkinspindle/platform/standin/replica"
@@ -41,6 +44,42 @@
 	}
 }
 
+// Guards against a planned stop that keeps to the grace period from before a reload.
+func TestStopKeepsToTheReloadedGracePeriod(t *testing.T) {
+	var log bytes.Buffer
+	settings := catkinspindle.GatewaySettings{
+		Name: "node", DataCentre: "dc", Store: "127.0.0.1:1",
+		Callers: "127.0.0.1:0", Ready: "127.0.0.2:0", Addresses: "127.0.0.3:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.4:0",
+		CPUShare: 1, MemoryMB: 256, Grace: 10 * time.Millisecond,
+	}
+	n := gatewaynode.New(settings, slog.New(slog.NewJSONHandler(&log, nil)))
+	if err := n.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	settings.Grace = 20 * time.Millisecond
+	n.Reload(settings)
+	if err := n.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	type line struct {
+		Event events.Event
+		Grace time.Duration
+	}
+	for text := range strings.Lines(log.String()) {
+		var l line
+		if err := json.Unmarshal([]byte(text), &l); err != nil {
+			t.Fatal(err)
+		}
+		if l.Event == events.NodeLeaving {
+			if diff := cmp.Diff(line{events.NodeLeaving, settings.Grace}, l); diff != "" {
+				t.Errorf("line of the stop (-want +got):\n%s", diff)
+			}
+			return
+		}
+	}
+	t.Error("no line of the stop")
+}
+
 // Requests that arrive in a planned stop get an answer: a complete one, or a failure that says
 // whether they may have run.
 func TestRequestsOfAPlannedStopAreAnswered(t *testing.T) {
--- a/nodecommands/commands.go
+++ b/nodecommands/commands.go
@@ -132,7 +132,7 @@
 			log.Error("settings not reloaded; the previous settings stay in force", events.NodeReloaded.Attr(), "error", err)
 			continue
 		}
-		n.SetRetryBudget(s.Retry)
+		n.Reload(s)
 		log.Info("settings reloaded", events.NodeReloaded.Attr(), "file", file)
 	}
 }
