--- a/events/event.go
+++ b/events/event.go
@@ -34,6 +34,7 @@
 	HandlerPanicked     Event = 5005
 	RequestCrossedClose Event = 5006
 	CallerCutOff        Event = 5008
+	CallersLimited      Event = 5007
 	LinesDropped        Event = 1006
 	LibraryMessage      Event = 1007
 	PeerMalformed       Event = 3001
