--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	n.transport = peers.NewWithTLS(n.settings.Peers, config, n.log)
+	n.transport = peers.NewWithTLS(n.settings.Peers, config, n.log, peers.WithMetrics(n.metrics))
 	n.fleet = fleet.New(n.self, n.transport, n.view, n.watchStore, n.log,
 		fleet.WithStoreLost(n.outages.anyLost),
 		fleet.WithProbe(n.storeReachable),
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -16,6 +16,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
@@ -71,6 +72,8 @@
 	// connection in bytes.
 	reading       *readbudget.Budget
 	readingOfPeer int
+	// metrics counts what is sent; nil if nothing is counted.
+	metrics metrics.Registry
 
 	mu    sync.Mutex
 	conns map[string]*callConn
@@ -256,6 +259,9 @@
 		t.log.Warn("response to peer cannot be encoded", events.PeerMalformed.Attr(), "kind", req.Kind, "error", err)
 		return
 	}
+	if _, ok := t.handlers[req.Kind]; ok {
+		t.countSent(req.Kind, len(data))
+	}
 	_, _ = s.Write(data)
 }
 
@@ -307,6 +313,7 @@
 	if err != nil {
 		return err
 	}
+	t.countSent(kind, len(data))
 	err = roundTrip(ctx, s, conn.reading, address, data, resp)
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// A peer that has restarted at the same address has no state of this connection.
--- a/peers/tunnel.go
+++ b/peers/tunnel.go
@@ -47,6 +47,15 @@
 	local, remote net.Addr
 	// release is called once when the tunnel is closed or aborted.
 	release func()
+	// countSent counts a write of so many bytes.
+	countSent func(bytes int)
+}
+
+// Write implements net.Conn.
+func (t *tunnel) Write(p []byte) (int, error) {
+	n, err := t.Stream.Write(p)
+	t.countSent(n)
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -89,7 +98,7 @@
 		t.log.Warn("response to peer cannot be encoded", events.PeerMalformed.Attr(), "kind", req.Kind, "error", err)
 		s.CancelWrite(abortedCode)
 	}
-	tun := &tunnel{Stream: s, reader: s, local: conn.LocalAddr(), remote: conn.RemoteAddr(), release: func() {}}
+	tun := &tunnel{Stream: s, reader: s, local: conn.LocalAddr(), remote: conn.RemoteAddr(), release: func() {}, countSent: t.countTunnel}
 	if _, err := s.Write(data); err != nil && serve != nil {
 		tun.Abort() // serve ends at the first read or write.
 	}
@@ -115,7 +124,7 @@
 		release()
 		return nil, catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonPeerUnreachable, "peers: tunnel to %s: %w", address, err)
 	}
-	tun := &tunnel{Stream: s, local: conn.LocalAddr(), remote: conn.RemoteAddr(), release: release}
+	tun := &tunnel{Stream: s, local: conn.LocalAddr(), remote: conn.RemoteAddr(), release: release, countSent: t.countTunnel}
 	if err := tun.open(ctx, address, data); err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			t.dropTunnels(conn)
