--- a/peers/traffic_test.go
+++ b/peers/traffic_test.go
@@ -21,7 +21,9 @@
 		t.Fatal(err)
 	}
 	_ = a.Call(t.Context(), address, "unknown", "", nil) // It fails.
-	sent := func(r metrics.Registry, name string) int64 { return metrics.GetOrRegisterCounter("peers."+name, r).Count() }
+	sent := func(r metrics.Registry, name string) int64 {
+		return metrics.GetOrRegisterCounter("peers."+name, r).Count()
+	}
 	got := []int64{
 		sent(caller, "echo.messages-sent"), sent(handler, "echo.messages-sent"),
 		sent(caller, "unknown.messages-sent"), sent(handler, "unknown.messages-sent"),
