Repeat the first reads of a starting node soon after an outage

Nodes that are killed while the store is silent start into the silence: their reads of the secret, the configuration and the replicas hang for 2 s, also when the store answers again a second earlier, and the configuration and replicas are never read again. Such a node serves nothing until it has joined and a hub has sent it a configuration.

The first view is read until it is there: a read that fails in an outage is repeated once the secret has been read, so that a node retries a single read meanwhile. Shorter timeouts instead were ruled out: with a store slower than those no read would ever succeed.

--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -91,7 +91,8 @@
 	cancel context.CancelFunc
 	// secret is the fleet secret. It is set before joined is closed.
 	secret []byte
-	joined chan struct{}
+	// storeAnswered is closed once the store has returned the fleet secret.
+	storeAnswered, joined chan struct{}
 }
 
 // Option configures a node.
@@ -117,8 +118,9 @@
 			DataCentre:     s.DataCentre,
 			Capacity:       s.CPUShare,
 		},
-		joined: make(chan struct{}),
-		direct: replicas.NewDialer(0),
+		storeAnswered: make(chan struct{}),
+		joined:        make(chan struct{}),
+		direct:        replicas.NewDialer(0),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -165,10 +167,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.runCtx, n.cancel = ctx, cancel
 	n.group.Go(func() error {
-		if err := n.readInitialView(ctx); err != nil && ctx.Err() == nil {
-			n.storeFailing.Store(true)
-			n.log.Warn("initial read of configuration and replicas from the store failed", events.PlatformFailed.Attr(), "error", err)
-		}
+		n.obtainInitialView(ctx)
 		return nil
 	})
 	n.group.Go(func() error {
@@ -189,6 +188,7 @@
 		return err
 	}
 	n.secret = secret
+	close(n.storeAnswered)
 	config, err := keys.NewFleetTLSConfig(secret, peers.Protocol)
 	if err != nil {
 		return err
@@ -325,14 +325,21 @@
 			return nil
 		}
 		n.log.Warn("node operation failed, will retry", events.PlatformFailed.Attr(), "what", operation, "error", err)
-		select {
-		case <-ctx.Done():
+		if backOff(ctx) != nil {
 			return fmt.Errorf("%s: %w", operation, ctx.Err())
-		case <-time.After(joinBackoff/2 + rand.N(joinBackoff)):
 		}
 	}
 }
 
+// backOff waits for joinBackoff, jittered, or until ctx is done. It returns the error of ctx.
+func backOff(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(joinBackoff/2 + rand.N(joinBackoff)):
+	}
+	return ctx.Err()
+}
+
 // viewChanged passes a new view to the planner, the listeners and the replica client.
 func (n *Node) viewChanged(s *view.State) {
 	if s.Table != nil {
--- a/gatewaynode/stop_test.go
+++ b/gatewaynode/stop_test.go
@@ -21,6 +21,7 @@
 	"github.com/catkinspindle/catkinspindle/platform"
 	"github.com/catkinspindle/catkinspindle/platform/standin/replica"
 	"github.com/catkinspindle/catkinspindle/platform/standin/site"
+	"github.com/catkinspindle/catkinspindle/platform/standin/store"
 )
 
 // A planned stop must succeed right after the start, also if the store has never
@@ -195,6 +196,24 @@
 	await(t, "the node is ready", isReady)
 }
 
+// A node whose first reads failed must serve once the store answers, also before it has joined.
+func TestStartWithoutStore(t *testing.T) {
+	s := start(t, 0)
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	s.Store.SetFaults(store.Faults{Down: true})
+	callers, _ := startNode(t, s, socket.LocalAddr().String())
+	await(t, "configuration, replicas and secret could not be read", func() bool { return s.Store.StaleReads() >= 4 })
+	s.Store.SetFaults(store.Faults{})
+	await(t, "a request gets a response", func() bool {
+		status, _, err := s.Send(context.Background(), callers, "early", http.MethodGet, "/read/x", site.Key, 0)
+		return err == nil && status == 200
+	})
+}
+
 // Joining a fleet must take a single write, also after a kill: when all nodes restart at
 // once, the store's write rate decides how soon they serve. The reads must be stale reads,
 // which cost a fraction of other calls.
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -33,6 +33,38 @@
 // of every other list, so that any of them replaces a stale one.
 var stalePosition = catkinspindle.Position{Revision: 1}
 
+// obtainInitialView reads the initial view until a read has succeeded or other nodes have sent this
+// node a view. A read that fails before the store has answered the read of the secret is repeated
+// after that answer, so that in an outage a starting node retries a single read.
+func (n *Node) obtainInitialView(ctx context.Context) {
+	hasView := func() bool {
+		s := n.view.State()
+		return s.Table != nil && s.ReplicasAt != (catkinspindle.Position{})
+	}
+	for {
+		err := n.readInitialView(ctx)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		if n.view.State().Table == nil {
+			n.storeFailing.Store(true)
+		}
+		n.log.Warn("initial read of configuration and replicas from the store failed, will retry", events.PlatformFailed.Attr(), "error", err)
+		select {
+		case <-n.storeAnswered:
+			_ = backOff(ctx) // The next read fails with the context.
+		default:
+			select {
+			case <-n.storeAnswered:
+			case <-ctx.Done():
+			}
+		}
+		if hasView() {
+			return
+		}
+	}
+}
+
 // readInitialView reads the configuration, the evacuations and the replicas from the store, possibly stale, so
 // that the node can serve before it has joined the fleet and gets current state from the
 // other nodes.
