Send each node the changes of replicas once

Three causes:

- A restarted node reads the list from the store without a position, and hubs have no changes for it: it gets the list a second time.
It now sends the hash of its list, and a hub with the same list answers with the position.
- A hub that has restarted or listed anew lacks the changes before: every node fetches its whole list although other hubs have the changes.
Nodes now wait for these until the heartbeat after the next, and fetch at once only when their list has no position or another era.
- All four hubs send each node the same changes.
A node now asks one hub, by rendezvous, for them, and all while it is behind.

A node adopts no configuration from a hub before it has replicas: requests were refused for want of replicas at position 0/0 after the loss of all.

Ruled out: keeping the difference to the list before as a record when a hub lists anew. TestStoreIsRestoredAmidFaults then finds nodes that lack a replica, because lists at one position can differ after a restore.

Earlier builds ignore the new fields and send no hash, so they send and get what they did.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,8 @@
 	// list, so that only one runs at a time.
 	fetchingRouting, fetchingReplicas sync.Mutex
 	routingCache, replicasCache       snapshotCache
+	replicasHash                      hashCache
+	behind                            behind
 
 	mu      sync.Mutex
 	members map[string]*member
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -172,14 +172,17 @@
 
 func startNodes(t *testing.T, count int, opts ...fleet.Option) (*network, []*node) {
 	t.Helper()
-	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, linkFreeAt: map[string]time.Time{}}
-	var (
-		nodes   []*node
-		members []catkinspindle.Node
-	)
+	var members []catkinspindle.Node
 	for i := range count {
 		members = append(members, member(i, 1))
 	}
+	return startMembers(t, members, opts...)
+}
+
+func startMembers(t *testing.T, members []catkinspindle.Node, opts ...fleet.Option) (*network, []*node) {
+	t.Helper()
+	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, linkFreeAt: map[string]time.Time{}}
+	var nodes []*node
 	for _, self := range members {
 		n := &node{self: self, view: view.New(nil)}
 		n.Fleet = fleet.New(self, endpoint{net, self.PeerAddress}, n.view, n.watch, slog.New(slog.DiscardHandler), append([]fleet.Option{
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -36,10 +36,15 @@
 	QuarantineSince uint64                          `cbor:"13,keyasint,omitempty"`
 	// EvacuationsAt is the position of the evacuations that the sender knows.
 	EvacuationsAt catkinspindle.Position `cbor:"14,keyasint,omitzero"`
+	// ReplicasHash is the hash of the sender's list of replicas if it was read from the store without
+	// a position, otherwise zero.
+	ReplicasHash uint64 `cbor:"15,keyasint,omitempty"`
+	// SkipChanges is true when the sender gets the changes of replicas from another hub.
+	SkipChanges bool `cbor:"16,keyasint,omitempty"`
 }
 
-func (m heartbeatRequest) forHub(isCoordinator bool) heartbeatRequest {
-	m.WantsLive = isCoordinator
+func (m heartbeatRequest) forHub(isCoordinator, skipChanges bool) heartbeatRequest {
+	m.WantsLive, m.SkipChanges = isCoordinator, skipChanges
 	return m
 }
 
@@ -86,6 +91,10 @@
 	// are newer than the sender's.
 	EvacuationsAt catkinspindle.Position     `cbor:"17,keyasint,omitzero"`
 	Evacuations   *catkinspindle.Evacuations `cbor:"18,keyasint,omitempty"`
+	// SameReplicas is true when the list with the hash in the heartbeat is the hub's list at
+	// ReplicasAt. Removed is then what a snapshot of that list has.
+	SameReplicas bool                      `cbor:"19,keyasint,omitempty"`
+	Removed      []catkinspindle.Departure `cbor:"20,keyasint,omitempty"`
 }
 
 // Wake sends the next heartbeat at once.
@@ -148,22 +157,27 @@
 	f.recordRateLimits(a.RateLimits, to.Name)
 	f.recordQuarantine(a.Quarantine)
 	f.recordEvacuations(a.Evacuations, to.Name)
-	f.catchUp(ctx, to, a)
+	f.catchUp(ctx, to, m, a)
 	f.pushState(ctx, to, a)
 }
 
 // catchUp brings this node up to the hub's list of replicas and configuration, from the
 // changes in the response or by a fetch.
-func (f *Fleet) catchUp(ctx context.Context, hub catkinspindle.Node, a heartbeatResponse) {
+func (f *Fleet) catchUp(ctx context.Context, hub catkinspindle.Node, m heartbeatRequest, a heartbeatResponse) {
+	if a.SameReplicas {
+		f.confirmReplicas(m, a)
+	}
 	if a.ChangesComplete {
 		// Changes that another hub's response has already brought are applied again, which
 		// is harmless.
 		f.view.ChangeReplicas(a.Changes, a.ReplicasAt, time.Time{})
 	}
-	if a.ReplicasAt.After(f.view.State().ReplicasAt) {
+	if at := f.view.State().ReplicasAt; a.ReplicasAt.After(at) && f.mustFetch(at, a.ReplicasAt) {
 		f.fetch(ctx, &f.fetchingReplicas, hub, replicasKind, f.adoptReplicas)
 	}
-	if a.ConfigVersion > f.view.State().Version() {
+	// A node without replicas refuses the requests for which its configuration has routes.
+	lacksReplicas := f.view.State().ReplicasAt == catkinspindle.Position{} && a.ReplicasAt != catkinspindle.Position{}
+	if a.ConfigVersion > f.view.State().Version() && !lacksReplicas {
 		f.fetch(ctx, &f.fetchingRouting, hub, routingKind, f.adoptRouting)
 	}
 }
@@ -235,6 +249,7 @@
 	f.recordRateLimits(m.RateLimits, m.From.Name)
 	f.recordQuarantine(m.Quarantine)
 	state := f.view.State()
+	removed, sameReplicas := f.sameReplicas(state.ReplicasAt, m.ReplicasHash)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updateMember(m.From)
@@ -271,7 +286,8 @@
 	a.Departures, a.DeparturesAt = f.view.Departures(m.DeparturesSince, false)
 	a.RateLimits, a.RateLimitsAt = f.rateLimits.Since(time.Now(), m.RateLimitsSince, false)
 	a.Quarantine, a.QuarantineAt = f.quarantineSince(m.QuarantineSince, false)
-	if state.ReplicasAt.After(m.ReplicasAt) {
+	a.Removed, a.SameReplicas = removed, sameReplicas
+	if state.ReplicasAt.After(m.ReplicasAt) && !sameReplicas && !m.SkipChanges {
 		if changes, upTo, ok := f.view.Since(m.ReplicasAt); ok {
 			a.Changes, a.ReplicasAt, a.ChangesComplete = changes, upTo, true
 		}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -65,14 +65,19 @@
 	}
 	hubReachesStore = hubReachesStore || (isHub && !f.storeLost())
 	f.updateStoreLostSince(now, !hubReachesStore && (hubResponds || isHub))
+	replicasHash := f.staleReplicasHash()
 	upToDate := f.updateInformedSince(now, informed)
 	f.probeStore(ctx, now, isHub)
 	needed := isHub || f.substituteWatcher || (!hubResponds && now.Sub(f.started) > firstResponseTimeout)
-	message := heartbeatRequest{From: f.self, SubstituteWatcher: f.substituteWatcher && f.stopWatch != nil && !f.storeLost(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt, EvacuationsAt: f.view.State().Evacuations.At}
+	message := heartbeatRequest{From: f.self, SubstituteWatcher: f.substituteWatcher && f.stopWatch != nil && !f.storeLost(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt, EvacuationsAt: f.view.State().Evacuations.At, ReplicasHash: replicasHash}
 	lost := append(f.updateLiveness(now, currentHubs, isHub), f.replaced...)
 	f.replaced = nil
 	coordinator := f.coordinator.Name
 	message.LiveHash = f.live.hash
+	source := ""
+	if !isHub {
+		source = f.changesSource(now, others, message.ReplicasAt)
+	}
 	f.mu.Unlock()
 	f.reportLost(lost)
 	if upToDate {
@@ -81,7 +86,7 @@
 	f.setWatching(ctx, needed)
 	for _, h := range others {
 		f.group.Go(func() error {
-			f.exchangeHeartbeat(ctx, h.Node, message.forHub(h.Name == coordinator))
+			f.exchangeHeartbeat(ctx, h.Node, message.forHub(h.Name == coordinator, source != "" && source != h.Name))
 			return nil
 		})
 	}
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -29,10 +29,6 @@
 	return err == nil
 }
 
-// stalePosition is the position given to lists that may be stale. It precedes the position
-// of every other list, so that any of them replaces a stale one.
-var stalePosition = catkinspindle.Position{Revision: 1}
-
 // obtainInitialView reads the initial view until a read has succeeded or other nodes have sent this
 // node a view. A read that fails before the store has answered the read of the secret is repeated
 // after that answer, so that in an outage a starting node retries a single read.
@@ -87,11 +83,11 @@
 	if err := group.Wait(); err != nil {
 		return fmt.Errorf("read configuration and replicas: %w", err)
 	}
-	replicasSink{n}.Reset(replicas, stalePosition, time.Time{})
+	replicasSink{n}.Reset(replicas, catkinspindle.StalePosition, time.Time{})
 	if n.settings.EvacuationTime > 0 {
-		newEvacuationsSink(n).Reset(evacuations, stalePosition, time.Time{})
+		newEvacuationsSink(n).Reset(evacuations, catkinspindle.StalePosition, time.Time{})
 	}
-	configSink{n}.Reset(config, stalePosition, time.Time{})
+	configSink{n}.Reset(config, catkinspindle.StalePosition, time.Time{})
 	return nil
 }
 
--- a/position.go
+++ b/position.go
@@ -27,3 +27,7 @@
 
 // LogValue implements slog.LogValuer.
 func (p Position) LogValue() slog.Value { return slog.StringValue(p.String()) }
+
+// StalePosition is the position given to lists that may be stale. It precedes the position
+// of every other list, so that any of them replaces a stale one.
+var StalePosition = Position{Revision: 1}
