Give one decoded prompt room on small VMs

The default of body-memory followed from the VM's memory alone, so that a prompt of max-body was refused on a VM with less than 15 times as much.

The default is at least four times max-body, as a set value must be.

--- a/inbound/budget.go
+++ b/inbound/budget.go
@@ -83,6 +83,9 @@
 // WithMaxBytes sets the number of bytes.
 func WithMaxBytes(n int64) Option { return func(b *Budget) { b.maxBytes = n } }
 
+// WithMinBytes raises the number of bytes to n if it is lower. It follows WithMemory.
+func WithMinBytes(n int64) Option { return func(b *Budget) { b.maxBytes = max(b.maxBytes, n) } }
+
 // WithDescriptors bounds the connections to a share of the process's descriptors.
 func WithDescriptors(n int) Option {
 	return func(b *Budget) { b.maxConnections = int(descriptorShare * float64(n)) }
--- a/inbound/budget_test.go
+++ b/inbound/budget_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/inbound"
 )
 
@@ -134,6 +135,18 @@
 	}
 }
 
+func TestLargestBodyAloneCanBeDecoded(t *testing.T) {
+	limits := catkinspindle.Limits{MaxBody: maxBody}
+	b := inbound.New(inbound.WithMemory(1), inbound.WithMinBytes(limits.MinBodyMemory()))
+	h, err := newCaller(maxBody, maxBody, 0).read(b, maxBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Grow(2 * maxBody); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	b := inbound.New(inbound.WithDescriptors(23)) // 16 connections.
 	var evicted []int
--- a/node/node.go
+++ b/node/node.go
@@ -194,9 +194,13 @@
 
 // newInbound returns the budget of what is being read from callers.
 func (n *Node) newInbound() *inbound.Budget {
-	opts := []inbound.Option{inbound.WithMemory(machine.Memory()), inbound.WithDescriptors(machine.Descriptors()), inbound.WithMetrics(n.metrics), inbound.WithLog(n.log)}
-	if bytes := n.cfg.Limits.BodyMemory; bytes > 0 {
-		opts = append(opts, inbound.WithMaxBytes(bytes))
+	memory := machine.Memory()
+	opts := []inbound.Option{inbound.WithMemory(memory), inbound.WithDescriptors(machine.Descriptors()), inbound.WithMetrics(n.metrics), inbound.WithLog(n.log)}
+	switch {
+	case n.cfg.Limits.BodyMemory > 0:
+		opts = append(opts, inbound.WithMaxBytes(n.cfg.Limits.BodyMemory))
+	case memory > 0:
+		opts = append(opts, inbound.WithMinBytes(n.cfg.Limits.MinBodyMemory()))
 	}
 	return inbound.New(opts...)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -185,10 +185,6 @@
 	return nil
 }
 
-// minBodies is the minimum number of bodies of the largest size for which there is memory: one that is being
-// decoded.
-const minBodies = 4
-
 func checkLimits(doc strictyaml.Document, s Settings) error {
 	l := s.Limits
 	counts := []keyValue[int64]{
@@ -198,8 +194,8 @@
 		{"max-tokens", int64(l.MaxTokens)},
 		{"attempts", int64(l.Attempts)},
 	}
-	if l.BodyMemory != 0 && l.BodyMemory < minBodies*l.MaxBody {
-		return doc.Errorf("limits.body-memory", "%d is under %d times max-body, %d", l.BodyMemory, minBodies, l.MaxBody)
+	if least := l.MinBodyMemory(); l.BodyMemory != 0 && l.BodyMemory < least {
+		return doc.Errorf("limits.body-memory", "%d is under %d, the least for this max-body", l.BodyMemory, least)
 	}
 	for _, n := range counts {
 		if n.v <= 0 {
--- a/timing.go
+++ b/timing.go
@@ -74,6 +74,12 @@
 	Attempts int `yaml:"attempts"`
 }
 
+// minBodies is the number of bodies of the largest size for which there is memory: one that is decoded.
+const minBodies = 4
+
+// MinBodyMemory returns the fewest bytes that BodyMemory may be.
+func (l Limits) MinBodyMemory() int64 { return minBodies * l.MaxBody }
+
 // DefaultLimits returns the limits of a node without limit settings.
 func DefaultLimits() Limits {
 	return Limits{
