--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -300,7 +300,8 @@
 		events := (j.AnswerTokens + m.Stride - 1) / m.Stride
 		decoding := time.Duration(max(0, events-1)) * iteration
 		s.Due = now.Add(objective(j) - least)
-		s.End = now.Add(min(patience(j), j.TimeLeft-decoding) - least)
+		// First events come up to two iterations later than estimated.
+		s.End = now.Add(min(patience(j), j.TimeLeft-decoding) - least - 2*iteration)
 		if queue.long && xxhash.Sum64String(id)%keptShare == 0 {
 			s.Keep = w.offeredAt.Add(s.End.Sub(w.offeredAt) / 2)
 		}
