Refuse callers with less time than their objective in time

Cause: a job that was due after its end counted as in time until it was due.

Change: due after the end counts as the end. The test of the planner failed before: the job still waited 1 s before its deadline.

--- a/placement/waiting_test.go
+++ b/placement/waiting_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// A caller that comes back with less time than its objective is refused while it can still return, and
+// is not held until its deadline.
+func TestWaitingJobWithLittleTimeIsRefused(t *testing.T) {
+	p := planner(6)
+	offer(p, start, named("first", 600_000, 0))
+	j := named("repeat", 200_000, 1)
+	j.LatencyObjective, j.TimeLeft = 20*time.Second, 3*time.Second
+	decided := offer(p, start, j)["repeat"]
+	for now := start; decided.Waiting || decided.JobID == ""; now = now.Add(dispatchInterval) {
+		if now.After(start.Add(2 * time.Second)) {
+			t.Fatal("the job still waits 2 s after it came, 1 s before its deadline")
+		}
+		for _, d := range p.Dispatch(now, service, catkinspindle.Pool{}, catkinspindle.FullRateAuthority()) {
+			decided = d
+		}
+	}
+	if !decided.Refused() || decided.RetryAfter <= 0 {
+		t.Errorf("decision %+v, want a refusal", decided)
+	}
+}
+
 // The jobs that wait when the last replica of a service goes are refused then.
 func TestWaitingJobsAreRefusedWithoutReplicas(t *testing.T) {
 	p := planner(2)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -17,7 +17,8 @@
 	ID string
 	// Rank is the rank of the job; 0 is the highest.
 	Rank int
-	// Due is until when the job must begin to be in time, End until when to be of use to its caller.
+	// Due is until when the job must begin to be in time, End until when to be of use to its caller. A
+	// Due after End counts as End.
 	Due, End time.Time
 	// Work is how long the job keeps one server busy.
 	Work time.Duration
@@ -35,6 +36,11 @@
 // sets Begin and Late of all jobs.
 func Order(begin time.Time, servers float64, jobs []Job) (order, unserved []Job) {
 	ranked := slices.Clone(jobs)
+	for i, j := range ranked {
+		if j.Due.After(j.End) {
+			ranked[i].Due = j.End
+		}
+	}
 	slices.SortStableFunc(ranked, func(a, b Job) int { return cmp.Compare(a.Rank, b.Rank) })
 	for len(ranked) > 0 {
 		n := 1
--- a/schedule/order_test.go
+++ b/schedule/order_test.go
@@ -91,6 +91,12 @@
 			[]string{"a", "c", "(large)"},
 			nil,
 		},
+		"less time than until it is due": {
+			1,
+			[]schedule.Job{job("a", 1, 0, 900, 300), job("repeat", 1, 5000, 200, 400)},
+			[]string{"a"},
+			[]string{"(repeat)"},
+		},
 		"too late already": {
 			4,
 			[]schedule.Job{job("a", 1, -500, -100, 10)},
