Refuse requests without a bearer key

What callers saw: where a tenant of the configuration has an empty API key, a request without Authorization ran as that tenant's. A key was also accepted without the word Bearer.

Cause: platform.APIKey reports whether a request has a key at all, and the gateway dropped that result, so that "none" became the key "". The table of keys held an empty key like any other.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -234,10 +234,13 @@
 		return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonStopping, "this node is stopping before the answer would be complete").WithRetryAfter(stoppingRetryAfter)
 	}
 	if state.Table.RequiresKey(route) {
-		key, _ := g.codec.Key(r)
+		key, ok := g.codec.Key(r)
+		if !ok {
+			return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonUnauthorized, "API key is missing or malformed")
+		}
 		workspace, ok := state.Table.Workspace(key)
 		if !ok {
-			return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonUnauthorized, "API key is missing or unknown")
+			return catkinspindle.Fail(catkinspindle.NotRun, catkinspindle.ReasonUnauthorized, "API key is unknown")
 		}
 		x.workspace = workspace.Workspace
 		if workspace.Priority != nil {
--- a/routes/table.go
+++ b/routes/table.go
@@ -39,7 +39,9 @@
 	}
 	for _, w := range r.WorkspaceKeys {
 		for _, k := range w.Keys {
-			t.keys[k] = w
+			if k != "" {
+				t.keys[k] = w
+			}
 		}
 	}
 	return t
--- a/routes/table_test.go
+++ b/routes/table_test.go
@@ -45,7 +45,7 @@
 }
 
 func TestKeys(t *testing.T) {
-	table := routes.New(catkinspindle.Routing{WorkspaceKeys: []catkinspindle.WorkspaceKeys{{Workspace: "w", Keys: []string{"k1", "k2"}}}})
+	table := routes.New(catkinspindle.Routing{WorkspaceKeys: []catkinspindle.WorkspaceKeys{{Workspace: "w", Keys: []string{"k1", "", "k2"}}}})
 	if w, ok := table.Workspace("k2"); !ok || w.Workspace != "w" {
 		t.Errorf("workspace of k2: %q, %t", w.Workspace, ok)
 	}
