Adopt no configuration that leaves open whether a key is required

What callers saw: beside nodes of a build before, a node of the present build answered requests with a key that no configuration ever held, from the moment at which the list of tenants became empty to the next version.

Nodes before it still send the empty list to others as null, and the version that a node has adopted from a hub is final.

Change: the key policy is a field of its own, and a policy that is not stated requires a key. A message without it and without a list is not adopted; the node reads the configuration from the store instead, once a second at most. Earlier builds get the same bytes in the fields that they know.

Cost: a node that starts while the store is away, beside hubs of earlier builds only and with a configuration that has no tenants, answers 503 until the store or a newer hub answers.

Tests of package fleet distribute configurations that require no key; these state it now, which changes nothing in what they check.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -116,6 +116,10 @@
 	registered         map[string]int64
 	onRegistrationLost func()
 	lastReregistration time.Time
+	// onRoutingUnclear is called when a node has sent a configuration that does not state whether a key
+	// is required; lastRoutingRead is the time of the last such call.
+	onRoutingUnclear func()
+	lastRoutingRead  time.Time
 	// replaced are the incarnations superseded by newer ones since the last tick.
 	replaced   []catkinspindle.Node
 	rateLimits *ratelimits.Table
@@ -204,6 +208,12 @@
 	return func(l *Fleet) { l.onRegistrationLost = f }
 }
 
+// WithRoutingUnclear calls f when a node of an earlier build has sent a configuration that does not state
+// whether a key is required. It is not adopted: f reads the configuration from the store.
+func WithRoutingUnclear(f func()) Option {
+	return func(l *Fleet) { l.onRoutingUnclear = f }
+}
+
 // New returns a fleet that keeps v up to date and shares it with other nodes. watch watches
 // the store until its context ends and passes what it finds to v and SetRegistered.
 func New(self catkinspindle.Node, peers catkinspindle.Peers, v *view.View, watch func(context.Context), log *slog.Logger, opts ...Option) *Fleet {
@@ -221,6 +231,7 @@
 		onNodeLost:          func(catkinspindle.Node) {},
 
 		onRegistrationLost: func() {},
+		onRoutingUnclear:   func() {},
 		rateLimits:         ratelimits.New(),
 		quarantine:         quarantine.New(),
 		wake:               make(chan struct{}, 1),
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -257,7 +257,7 @@
 		if diff := cmp.Diff(4, watching); diff != "" {
 			t.Errorf("nodes that watch the store (-want +got):\n%s", diff)
 		}
-		nodes[1].view.SetRouting(catkinspindle.Routing{Version: 4})
+		nodes[1].view.SetRouting(openRouting(4))
 		nodes[2].view.SetReplicas(map[string]catkinspindle.Replica{"r": {ID: "r"}}, position(7), time.Time{})
 		time.Sleep(600 * time.Millisecond)
 		for _, n := range nodes {
@@ -334,7 +334,7 @@
 		endpoint{net, nodes[0].self.PeerAddress}.Handle("place", func(context.Context, func(any) error) (any, error) { return "here", nil })
 		time.Sleep(2 * time.Second)
 		for version := range int64(3) {
-			big := catkinspindle.Routing{Version: version + 1}
+			big := openRouting(version + 1)
 			for i := range 1000 {
 				big.Routes = append(big.Routes, catkinspindle.Route{
 					Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("host-%d.example", i*7919%1000), Prefix: fmt.Sprintf("/%x/", i*104729),
@@ -398,7 +398,7 @@
 		if !nodes[4].watches() {
 			t.Fatal("the next node does not watch the store 1 s after the hubs lost it")
 		}
-		nodes[4].view.SetRouting(catkinspindle.Routing{Version: 9})
+		nodes[4].view.SetRouting(openRouting(9))
 		time.Sleep(600 * time.Millisecond)
 		for _, n := range nodes {
 			if diff := cmp.Diff(int64(9), n.view.State().Version()); diff != "" {
@@ -449,7 +449,7 @@
 					t.Errorf("%d probes in %v, want %d at most", probes.Load(), lossDuration, most)
 				}
 				nodes[0].setStoreLost(false)
-				nodes[0].view.SetRouting(catkinspindle.Routing{Version: 9})
+				nodes[0].view.SetRouting(openRouting(9))
 				time.Sleep(600 * time.Millisecond)
 				for _, n := range nodes {
 					if v := n.view.State().Version(); v != 9 {
@@ -481,7 +481,7 @@
 				t.Fatalf("%s does not watch the store", n.self.Name)
 			}
 		}
-		nodes[29].view.SetRouting(catkinspindle.Routing{Version: 9})
+		nodes[29].view.SetRouting(openRouting(9))
 		time.Sleep(600 * time.Millisecond)
 		for _, n := range nodes {
 			if v := n.view.State().Version(); v != 9 {
--- a/fleet/malformed_test.go
+++ b/fleet/malformed_test.go
@@ -60,7 +60,7 @@
 func newReceiver() (*network, *view.View) {
 	net := &network{handlers: map[string]catkinspindle.PeerHandler{}, down: map[string]bool{}, linkFreeAt: map[string]time.Time{}}
 	v := view.New(nil)
-	v.SetRouting(catkinspindle.Routing{Version: 3})
+	v.SetRouting(openRouting(3))
 	fleet.New(member(0, 1), endpoint{net, "peer-n0"}, v, func(context.Context) {}, slog.New(slog.DiscardHandler))
 	return net, v
 }
@@ -68,14 +68,14 @@
 // A configuration that cannot be decoded, or whose version differs from its message's,
 // changes nothing; a valid one that follows is adopted.
 func TestMalformedConfigurationIsIgnored(t *testing.T) {
-	good := encoded(t, catkinspindle.Routing{Version: 9})
+	good := encoded(t, openRouting(9))
 	tests := map[string]snapshot{
 		"not compressed":      {9, good, 0},
 		"cut off":             {9, compressed(t, good)[:4], 0},
 		"not a routing":       {9, compressed(t, encoded(t, "text")), 0},
 		"another version":     {12, compressed(t, good), 0},
 		"empty":               {9, nil, 0},
-		"older":               {2, compressed(t, encoded(t, catkinspindle.Routing{Version: 2})), 0},
+		"older":               {2, compressed(t, encoded(t, openRouting(2))), 0},
 		"larger than allowed": {9, compressed(t, append(good, make([]byte, 20<<20)...)), 0},
 	}
 	for name, p := range tests {
@@ -124,7 +124,7 @@
 
 // No message makes a handler panic or replaces the configuration by an older one.
 func FuzzMessages(f *testing.F) {
-	f.Add("news", encoded(f, stateUpdate{&snapshot{9, compressed(f, encoded(f, catkinspindle.Routing{Version: 9})), 0}, nil, "n1"}))
+	f.Add("news", encoded(f, stateUpdate{&snapshot{9, compressed(f, encoded(f, openRouting(9))), 0}, nil, "n1"}))
 	f.Add("news", encoded(f, stateUpdate{&snapshot{9, []byte("garbage"), 0}, nil, "n1"}))
 	f.Add("news", encoded(f, stateUpdate{nil, &snapshot{9, compressed(f, encoded(f, nil)), time.Second}, "n1"}))
 	f.Add("beat", encoded(f, map[int]any{1: member(1, 1), 2: 4, 3: 5}))
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -70,7 +70,7 @@
 				if m.stale.Load() {
 					version--
 				}
-				n.view.SetRouting(catkinspindle.Routing{Version: version})
+				n.view.SetRouting(openRouting(version))
 			}
 			select {
 			case <-ctx.Done():
--- a/fleet/rate_limits_test.go
+++ b/fleet/rate_limits_test.go
@@ -77,7 +77,8 @@
 )
 
 var rateTestRouting = catkinspindle.Routing{
-	Version: 1,
+	Version:   1,
+	KeyPolicy: catkinspindle.KeyPolicyNone,
 	Routes: []catkinspindle.Route{
 		{Name: "chat", Host: rateTestHost, Prefix: "/chat/", Public: true, RetryMode: catkinspindle.RetryResume, Streaming: true, MaxAttempts: 2, Timeout: 10 * time.Second, LatencyObjective: 3 * time.Second, MaxEventGap: 250 * time.Millisecond, Targets: []catkinspindle.RouteTarget{{Service: "pool", Weight: 1}}},
 		{Name: "read", Host: rateTestHost, Prefix: "/read/", Public: true, RetryMode: catkinspindle.RetryAlways, MaxAttempts: 2, Timeout: 5 * time.Second, LatencyObjective: time.Second, Targets: []catkinspindle.RouteTarget{{Service: "app", Weight: 1}}},
--- a/fleet/restored_model_test.go
+++ b/fleet/restored_model_test.go
@@ -253,7 +253,7 @@
 			version := m.store.current.version
 			m.store.mu.Unlock()
 			if reached && version > 0 {
-				n.view.SetRouting(catkinspindle.Routing{Version: version})
+				n.view.SetRouting(openRouting(version))
 			}
 			select {
 			case <-ctx.Done():
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -163,11 +163,38 @@
 		f.log.Warn("configuration received from node is unreadable", events.PeerMalformed.Attr(), "node", source, "error", err)
 		return
 	}
+	if r.KeyPolicy == catkinspindle.KeyPolicyUnstated {
+		if r.WorkspaceKeys == nil {
+			f.readRouting(r.Version, source)
+			return
+		}
+		r.KeyPolicy = catkinspindle.KeyPolicyRequired
+	}
 	if f.view.SetRouting(r) {
 		f.log.Info("configuration adopted", events.ConfigAdopted.Attr(), "version", r.Version, "source", source)
 	}
 }
 
+// minRoutingReadInterval is the shortest interval between two reads of the configuration that
+// readRouting causes.
+const minRoutingReadInterval = time.Second
+
+// readRouting has the configuration read from the store, because the node that has sent it is of an
+// earlier build, which does not tell an empty list of workspaces from a missing one.
+func (f *Fleet) readRouting(version int64, source string) {
+	f.mu.Lock()
+	now := time.Now()
+	due := now.Sub(f.lastRoutingRead) >= minRoutingReadInterval
+	if due {
+		f.lastRoutingRead = now
+	}
+	f.mu.Unlock()
+	if due {
+		f.log.Warn("configuration received from node does not state whether a key is required, reading it from the store", events.ConfigUnreadable.Attr(), "node", source, "version", version)
+		f.onRoutingUnclear()
+	}
+}
+
 func (f *Fleet) adoptReplicas(p snapshot, source string) {
 	if !p.At.After(f.view.State().ReplicasAt) {
 		return
--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -91,6 +91,19 @@
 	return nil
 }
 
+// readConfig reads the configuration from the store.
+func (n *Node) readConfig() {
+	n.group.Go(func() error {
+		objects, _, err := n.store.List(n.runCtx, platform.ConfigKind)
+		if err != nil {
+			n.log.Warn("configuration could not be read from the store", events.PlatformFailed.Attr(), "error", err)
+			return nil
+		}
+		configSink{n}.Reset(objects, catkinspindle.StalePosition, time.Time{})
+		return nil
+	})
+}
+
 // watchStore watches the configuration, the replicas, the nodes and the evacuations in the store
 // until ctx is done.
 func (n *Node) watchStore(ctx context.Context) {
--- a/proofs/silence_site_test.go
+++ b/proofs/silence_site_test.go
@@ -63,15 +63,20 @@
 	added                int
 	// spareService is the service of the route that is moved.
 	spareService string
+	// tenants are the tenants with their keys; the configuration has no list of them if it is nil.
+	tenants []map[string]any
 }
 
+// siteTenants are the tenants of a site at its start.
+var siteTenants = []map[string]any{{"name": "readers", "api-keys": []string{standinsite.Key}}}
+
 func newSilenceSite(t *testing.T, dir, programs string) *silenceSite {
 	t.Helper()
 	s := &silenceSite{
 		programs:     programs,
 		processFleet: &processFleet{t: t, dir: dir, addresses: map[string]string{}, running: map[string]*exec.Cmd{}},
 		store:        store.New(),
-		config:       silenceConfig{idleTimeout: 15 * time.Second, timeout: silenceTimeout, spareService: "app"},
+		config:       silenceConfig{idleTimeout: 15 * time.Second, timeout: silenceTimeout, spareService: "app", tenants: siteTenants},
 	}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
@@ -210,15 +215,18 @@
 	for i := range s.config.added {
 		routes = append(routes, route(fmt.Sprintf("added-%d", i), "idempotent", "app", 2, nil))
 	}
-	s.store.Put(platform.ConfigKind, platform.ConfigName, map[string]any{
+	config := map[string]any{
 		"version": s.config.version, "routes": routes,
 		"services": []map[string]any{
 			{"name": "pool", "max-conns": 274, "engine": map[string]any{"slots": 16, "kv-capacity": 315000, "stride": 51, "chunk": 2048, "step_ms": 0.85, "per_seq_ms": 0.004, "context_per_k": 0.003, "read_per_s": 177000, "pairs_per_m": 0.184}},
 			{"name": "app", "max-conns": 110},
 		},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": s.config.idleTimeout.Milliseconds()},
-		"tenants": []map[string]any{{"name": "readers", "api-keys": []string{standinsite.Key}}},
-	})
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": s.config.idleTimeout.Milliseconds()},
+	}
+	if s.config.tenants != nil {
+		config["tenants"] = s.config.tenants
+	}
+	s.store.Put(platform.ConfigKind, platform.ConfigName, config)
 }
 
 // silenced returns the given share of the replicas of the pool, beginning at the given index.
--- a/route.go
+++ b/route.go
@@ -109,6 +109,16 @@
 	Priority *int
 }
 
+// KeyPolicy says whether requests on routes that are not public must carry an API key.
+type KeyPolicy int
+
+// The key policies. A policy that is not stated requires a key.
+const (
+	KeyPolicyUnstated KeyPolicy = iota
+	KeyPolicyRequired
+	KeyPolicyNone
+)
+
 // Routing is one version of the routing configuration.
 type Routing struct {
 	// Version is assigned by the operators and only increases.
@@ -116,7 +126,10 @@
 	Routes   []Route
 	Services []ReplicaService
 	Limits   TrafficLimits
-	// WorkspaceKeys is nil when callers need no API key.
+	// KeyPolicy is unstated in messages from nodes of earlier builds.
+	KeyPolicy KeyPolicy `cbor:",omitempty"`
+	// WorkspaceKeys has the keys in use. It is never nil if a key is required, because earlier builds
+	// take nil for KeyPolicyNone.
 	WorkspaceKeys []WorkspaceKeys `cbor:"KeyHolders"`
 }
 
--- a/routes/table.go
+++ b/routes/table.go
@@ -78,7 +78,7 @@
 
 // RequiresKey reports whether requests on r must carry an API key.
 func (t *Table) RequiresKey(r catkinspindle.Route) bool {
-	return t.routing.WorkspaceKeys != nil && !r.Public
+	return t.routing.KeyPolicy != catkinspindle.KeyPolicyNone && !r.Public
 }
 
 // Target chooses a service of r by weight. point, in [0, 1), is uniformly distributed over
