Warn of API keys that are not used as stated

What operators saw: nothing, where two tenants have the same key (requests ran as the one listed last) or a tenant has an empty one.

Change: the node that reads the configuration from the store warns, naming the workspaces and not the key. Which workspace holds such a key stays as it was: the same on all nodes, since they index the same list in its order.

--- a/gatewaynode/watch.go
+++ b/gatewaynode/watch.go
@@ -11,6 +11,7 @@
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/platform"
+	"github.com/catkinspindle/catkinspindle/routes"
 	"github.com/catkinspindle/catkinspindle/view"
 	"github.com/catkinspindle/catkinspindle/watch"
 )
@@ -188,6 +189,9 @@
 		for service, problem := range platform.ColdServiceProblems(o.Spec) {
 			s.n.log.Warn("odd value about cold replicas in the configuration", events.ConfigAdopted.Attr(), "version", r.Version, "service", service, "problem", problem)
 		}
+		for _, problem := range routes.KeyProblems(r) {
+			s.n.log.Warn("odd API key in the configuration", events.ConfigAdopted.Attr(), "version", r.Version, "problem", problem)
+		}
 		s.n.log.Info("configuration adopted", events.ConfigAdopted.Attr(), "version", r.Version, "revision", o.Revision, "source", "store")
 	}
 }
--- a/routes/table.go
+++ b/routes/table.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -76,6 +77,24 @@
 	return w, ok
 }
 
+// KeyProblems describes the API keys of r that are not used as stated. It does not contain the keys.
+func KeyProblems(r catkinspindle.Routing) (problems []string) {
+	holders := map[string]string{}
+	for _, w := range r.WorkspaceKeys {
+		for _, k := range w.Keys {
+			former, ok := holders[k]
+			switch {
+			case k == "":
+				problems = append(problems, fmt.Sprintf("workspace %q: an empty API key is ignored", w.Workspace))
+			case ok && former != w.Workspace:
+				problems = append(problems, fmt.Sprintf("workspace %q: an API key of workspace %q counts as this one's", w.Workspace, former))
+			}
+			holders[k] = w.Workspace
+		}
+	}
+	return problems
+}
+
 // RequiresKey reports whether requests on r must carry an API key.
 func (t *Table) RequiresKey(r catkinspindle.Route) bool {
 	return t.routing.KeyPolicy != catkinspindle.KeyPolicyNone && !r.Public
--- a/routes/table_test.go
+++ b/routes/table_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// Guards against API keys that silently belong to another workspace than their operators meant.
+func TestKeyProblems(t *testing.T) {
+	got := routes.KeyProblems(catkinspindle.Routing{WorkspaceKeys: []catkinspindle.WorkspaceKeys{
+		{Workspace: "a", Keys: []string{"k1", "k1"}}, {Workspace: "b", Keys: []string{"", "k2"}}, {Workspace: "c", Keys: []string{"k2"}},
+	}})
+	want := []string{`workspace "b": an empty API key is ignored`, `workspace "c": an API key of workspace "b" counts as this one's`}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("problems (-want +got):\n%s", diff)
+	}
+}
+
 func TestKeys(t *testing.T) {
 	table := routes.New(catkinspindle.Routing{WorkspaceKeys: []catkinspindle.WorkspaceKeys{{Workspace: "w", Keys: []string{"k1", "", "k2"}}}})
 	if w, ok := table.Workspace("k2"); !ok || w.Workspace != "w" {
