--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -17,8 +17,9 @@
 
 func main() {
 	cases := map[string]func(*record) (broken bool, err error){
-		"crowd": playCrowd,
-		"ghost": playGhost,
+		"crowd":      playCrowd,
+		"evacuation": playEvacuation,
+		"ghost":      playGhost,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		_, _ = fmt.Fprintln(os.Stderr, "usage: harness2 CASE RECORD")
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -82,9 +82,12 @@
 }
 
 // register registers a server of the service "pool".
-func (s *storeServer) register(m *modelServer) {
+func (s *storeServer) register(m *modelServer) { s.registerIn(m, "a") }
+
+// registerIn registers a server in a zone.
+func (s *storeServer) registerIn(m *modelServer, zone string) {
 	m.store = s
-	s.Put("servers", m.id, map[string]any{"service": "pool", "addr": m.address, "zone": "a", "version": "v1", "slots": m.slots, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": time.Now().UnixMilli()})
+	s.Put("servers", m.id, map[string]any{"service": "pool", "addr": m.address, "zone": zone, "version": "v1", "slots": m.slots, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": time.Now().UnixMilli()})
 }
 
 // recordRun records that a server has begun to work on a request.
