--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -74,7 +75,7 @@
 	return a
 }
 
-// traffic is a steady rate of requests to all nodes of a fleet in turn.
+// traffic is a steady rate of requests to all nodes of a fleet.
 type traffic struct {
 	record *record
 	mu     sync.Mutex
@@ -88,15 +89,17 @@
 	t.ended.Add(1)
 	group.Go(func() error {
 		defer t.ended.Done()
-		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
-		defer ticker.Stop()
+		// The arrivals are a Poisson process, the same in each run.
+		random := rand.New(rand.NewPCG(1, 2))
+		next := time.Now()
 		for i := 0; ; i++ {
+			next = next.Add(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
 			select {
 			case <-t.stop:
 				return nil
-			case <-ticker.C:
+			case <-time.After(time.Until(next)):
 			}
-			n, id := f.nodes[i%len(f.nodes)], fmt.Sprintf("%016x", 0x1c41d07be2a30000+i)
+			n, id := f.nodes[random.IntN(len(f.nodes))], fmt.Sprintf("%016x", 0x1c41d07be2a30000+i)
 			t.ended.Add(1)
 			group.Go(func() error {
 				defer t.ended.Done()
--- a/review/harness2/crowd.go
+++ b/review/harness2/crowd.go
@@ -160,6 +160,7 @@
 		"version": 3,
 		"routes": []map[string]any{
 			{"name": "chat", "host": host, "path-prefix": "/chat/", "type": "streaming", "service": "pool", "timeout-ms": 10000, "slo-ms": 1000, "gap-target-ms": 250, "max-attempts": 2, "resumable": true, "sticky": true, "priority": 1},
+			{"name": "long", "host": host, "path-prefix": "/long/", "type": "streaming", "service": "pool", "timeout-ms": 15000, "slo-ms": 1000, "gap-target-ms": 250, "max-attempts": 2, "resumable": true, "sticky": true, "priority": 1},
 			{"name": "read", "host": host, "path-prefix": "/read/", "type": "idempotent", "service": "pool", "timeout-ms": 15000, "slo-ms": 1000, "max-attempts": 2, "priority": 2},
 		},
 		"services": []map[string]any{
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -17,6 +17,7 @@
 
 func main() {
 	cases := map[string]func(*record) (broken bool, err error){
+		"empty-id":   playEmptyID,
 		"crowd":      playCrowd,
 		"evacuation": playEvacuation,
 		"ghost":      playGhost,
