--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,6 +24,9 @@
 	stableWindow = 3 * time.Second
 )
 
+// running has the process ids of all nodes that run.
+var running sync.Map
+
 // node is one machine with the deploy file's program.
 type node struct {
 	name                    string
@@ -113,8 +117,10 @@
 		return err
 	}
 	exited := make(chan error, 1)
+	running.Store(c.Process.Pid, true)
 	group.Go(func() error {
 		err := c.Wait()
+		running.Delete(c.Process.Pid)
 		n.record.line("%s: process %d has ended: %v", n.name, c.Process.Pid, c.ProcessState)
 		exited <- err
 		return nil
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -32,6 +34,7 @@
 		os.Exit(exitNotRun)
 	}
 	r.printf("case %s, trouble %t", os.Args[1], r.trouble)
+	endOnSignal(r)
 	broken, err := cases[os.Args[1]](r)
 	code := exitHeld
 	switch {
@@ -47,3 +50,19 @@
 	r.close()
 	os.Exit(code)
 }
+
+// endOnSignal ends the processes of the nodes and this one when it is asked to end.
+func endOnSignal(r *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	group.Go(func() error {
+		r.printf("not run: %v", <-signals)
+		running.Range(func(pid, _ any) bool {
+			_ = syscall.Kill(pid.(int), syscall.SIGKILL) // It may have ended already.
+			return true
+		})
+		r.close()
+		os.Exit(exitNotRun)
+		return nil
+	})
+}
