Hand the list of live nodes to hubs that have none

Cause: a node that had just started, was frozen or was cut off, and then became the coordinator, took a registration in the store for a sign of life. It presumed all registered nodes alive for up to 3 s and passed this on to all nodes as the list of live nodes, again with each restart of a hub. MarkUnresponsive and the first response of a hub began the presumption anew as well, because they told updateLiveness that the node was no hub; losses found on these paths were never reported.

A registration alone now counts for 2 s after a node's own start, and only if no other hub has a list. What a hub only presumes is handed over with the remaining time, so that a chain of restarts does not extend it. Nodes that the store's list newly contains are alive when they send a heartbeat. A freeze that stops the monotonic clock is noticed by the wall clock. The rotation of store probes uses the list of live nodes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,6 +35,9 @@
 	// firstHeartbeatTimeout is the time within which all nodes connect to a node that has just
 	// started: they do not use it as a hub for hubCooldown, and a handshake takes milliseconds.
 	firstHeartbeatTimeout = 3 * time.Second
+	// unconfirmedTimeout is how long after the start of a node a registration alone counts as a
+	// sign of life.
+	unconfirmedTimeout = 2 * time.Second
 	// maxTickDelay is the time between two heartbeats from which this node may have been frozen.
 	maxTickDelay = 2 * heartbeatInterval
 	// maxLostNodeLogs limits the log lines about nodes that are lost at the same time.
@@ -82,7 +85,12 @@
 	// preceded it, oldest first.
 	live         liveList
 	previousLive []liveList
-	coordinator  catkinspindle.Node
+	// lacksListSince is the time since which this node needs the list of another hub, because it
+	// has just started, was frozen or was cut off. It is zero while it needs none.
+	lacksListSince time.Time
+	// isolated is true while this node hears from no other.
+	isolated    bool
+	coordinator catkinspindle.Node
 	// respondingHubs are the responding hubs in order, including this node if it is a hub.
 	respondingHubs []catkinspindle.Node
 	// isFirstHub is true when this node is first in the order of the hubs, and not only the
@@ -167,6 +175,11 @@
 	unregisteredSince time.Time
 }
 
+// heardSince reports whether the node has sent a heartbeat or responded to one since a time.
+func (n *member) heardSince(t time.Time) bool {
+	return n.lastHeartbeat.After(t) || n.lastResponse.After(t)
+}
+
 // positions are positions in the departure log, the table of rate limits and the table of
 // requests that crash replicas.
 type positions struct {
@@ -251,6 +264,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.started = time.Now()
+	f.lacksListSince = f.started
 	f.group = &errgroup.Group{}
 	f.group.Go(func() error {
 		f.run(ctx)
@@ -281,7 +295,7 @@
 	f.nodesListed = f.stopWatch != nil
 	for _, n := range list {
 		f.registered[n.Name] = n.Incarnation
-		f.updateMember(n)
+		f.updateMember(n, f.unconfirmedUntil())
 	}
 	for name, n := range f.members {
 		if _, ok := f.registered[name]; !ok && name != f.self.Name && time.Since(n.lastHeartbeat) > livenessTimeout {
@@ -302,7 +316,7 @@
 	if f.registered != nil {
 		f.registered[n.Name] = n.Incarnation
 	}
-	f.updateMember(n)
+	f.updateMember(n, time.Now().Add(livenessTimeout))
 }
 
 // RemoveRegistered drops a node whose registration has been removed.
@@ -315,8 +329,9 @@
 	}
 }
 
-// updateMember adds n or updates its record. An older incarnation is ignored.
-func (f *Fleet) updateMember(n catkinspindle.Node) {
+// updateMember adds n or updates its record. A node that is new counts as alive until presumedUntil.
+// An older incarnation is ignored.
+func (f *Fleet) updateMember(n catkinspindle.Node, presumedUntil time.Time) {
 	if n.Name == f.self.Name {
 		if n.Incarnation == f.self.Incarnation {
 			f.self.RegistrationRevision = n.RegistrationRevision
@@ -326,7 +341,7 @@
 	}
 	existing, ok := f.members[n.Name]
 	if !ok {
-		f.members[n.Name] = &member{Node: n, presumedAliveUntil: time.Now().Add(livenessTimeout)}
+		f.members[n.Name] = &member{Node: n, presumedAliveUntil: presumedUntil, dead: !time.Now().Before(presumedUntil)}
 		return
 	}
 	if n.Incarnation < existing.Incarnation {
@@ -370,9 +385,12 @@
 	defer f.mu.Unlock()
 	live := f.live.nodes
 	if len(live) == 0 {
-		// No coordinator has responded yet: all registered nodes count as live.
+		// No coordinator has responded yet: all registered nodes count as live at first.
+		now := time.Now()
 		for _, n := range f.members {
-			live = append(live, n.Node)
+			if f.started.IsZero() || now.Before(f.unconfirmedUntil()) || n.heardSince(now.Add(-livenessTimeout)) {
+				live = append(live, n.Node)
+			}
 		}
 		slices.SortFunc(live, func(a, b catkinspindle.Node) int { return cmp.Compare(a.Name, b.Name) })
 	}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -41,6 +41,8 @@
 	ReplicasHash uint64 `cbor:"15,keyasint,omitempty"`
 	// SkipChanges is true when the sender gets the changes of replicas from another hub.
 	SkipChanges bool `cbor:"16,keyasint,omitempty"`
+	// WantsHandover requests the whole list of live nodes, for a hub that has no recent one.
+	WantsHandover bool `cbor:"17,keyasint,omitempty"`
 }
 
 func (m heartbeatRequest) forHub(isCoordinator, skipChanges bool) heartbeatRequest {
@@ -95,6 +97,8 @@
 	// ReplicasAt. Removed is then what a snapshot of that list has.
 	SameReplicas bool                      `cbor:"19,keyasint,omitempty"`
 	Removed      []catkinspindle.Departure `cbor:"20,keyasint,omitempty"`
+	// Handover is the hub's list of live nodes if the heartbeat has requested it.
+	Handover *handover `cbor:"21,keyasint,omitempty"`
 }
 
 // Wake sends the next heartbeat at once.
@@ -130,7 +134,7 @@
 		firstResponse := peer.lastResponse.IsZero()
 		peer.lastResponse = time.Now()
 		if firstResponse {
-			f.updateLiveness(peer.lastResponse, f.hubs(peer.lastResponse), false)
+			f.replaced = append(f.replaced, f.updateLiveness(peer.lastResponse, f.hubs(peer.lastResponse))...)
 		}
 		if a.From.Incarnation > peer.Incarnation {
 			f.replaced = append(f.replaced, peer.Node)
@@ -146,6 +150,10 @@
 			peer.sent = positions{}
 		}
 	}
+	f.endIsolation(time.Now())
+	if a.Handover != nil {
+		f.adoptHandover(time.Now(), *a.Handover, to.Name)
+	}
 	if a.Live != nil && to.Name == f.coordinator.Name {
 		f.adoptLive(*a.Live)
 	}
@@ -252,9 +260,11 @@
 	removed, sameReplicas := f.sameReplicas(state.ReplicasAt, m.ReplicasHash)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.updateMember(m.From)
+	now := time.Now()
+	f.updateMember(m.From, now.Add(livenessTimeout))
+	f.endIsolation(now)
 	if peer, ok := f.members[m.From.Name]; ok && m.From.Name != f.self.Name && m.From.Incarnation == peer.Incarnation {
-		peer.lastHeartbeat = time.Now()
+		peer.lastHeartbeat = now
 		peer.PathsLost = m.From.PathsLost
 		peer.cooldownUntil = time.Time{}
 		if m.WantsLive {
@@ -277,9 +287,12 @@
 			a.SubstituteWatchers++
 		}
 	}
-	if m.WantsLive && m.LiveHash != f.live.hash {
+	if m.WantsLive && m.LiveHash != f.live.hash && len(f.live.nodes) > 0 && !f.awaitsHandover(now) {
 		a.Live = f.liveSince(m.LiveHash)
 	}
+	if m.WantsHandover && !f.receivingSince.IsZero() && !f.awaitsHandover(now) {
+		a.Handover = f.handover(now)
+	}
 	if m.HubIncarnation != f.self.Incarnation {
 		m.DeparturesSince, m.RateLimitsSince, m.QuarantineSince = 0, 0, 0
 	}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -46,6 +46,9 @@
 	f.view.ExpireMissing(now)
 	f.mu.Lock()
 	f.excuseSilence(now)
+	if now.Sub(f.lacksListSince) > firstHeartbeatTimeout {
+		f.lacksListSince = time.Time{} // All nodes have had the time to send a heartbeat.
+	}
 	currentHubs := f.hubs(now)
 	isHub := false
 	hubResponds, hubReachesStore := false, false
@@ -70,10 +73,10 @@
 	f.probeStore(ctx, now, isHub)
 	needed := isHub || f.substituteWatcher || (!hubResponds && now.Sub(f.started) > firstResponseTimeout)
 	message := heartbeatRequest{From: f.self, SubstituteWatcher: f.substituteWatcher && f.stopWatch != nil && !f.storeLost(), ConfigVersion: f.view.State().Version(), ReplicasAt: f.view.State().ReplicasAt, EvacuationsAt: f.view.State().Evacuations.At, ReplicasHash: replicasHash}
-	lost := append(f.updateLiveness(now, currentHubs, isHub), f.replaced...)
+	lost := append(f.updateLiveness(now, currentHubs), f.replaced...)
 	f.replaced = nil
 	coordinator := f.coordinator.Name
-	message.LiveHash = f.live.hash
+	message.LiveHash, message.WantsHandover = f.live.hash, isHub && !f.lacksListSince.IsZero()
 	source := ""
 	if !isHub {
 		source = f.changesSource(now, others, message.ReplicasAt)
@@ -174,7 +177,7 @@
 func (f *Fleet) isProbeTurn(step int) bool {
 	index, count := 0, -hubCount
 	for _, n := range f.membersInHubOrder() {
-		if n.dead {
+		if !f.live.contains(n.Name) && len(f.live.nodes) > 0 {
 			continue
 		}
 		if n.Name == f.self.Name {
@@ -200,8 +203,9 @@
 
 // updateLiveness updates the responding hubs and the coordinator and, on a hub or
 // coordinator, which nodes are alive. It returns the nodes newly found dead.
-func (f *Fleet) updateLiveness(now time.Time, currentHubs []*member, isHub bool) []catkinspindle.Node {
+func (f *Fleet) updateLiveness(now time.Time, currentHubs []*member) []catkinspindle.Node {
 	coordinator := f.self
+	isHub := slices.ContainsFunc(currentHubs, func(h *member) bool { return h.Name == f.self.Name })
 	f.isFirstHub = len(currentHubs) > 0 && currentHubs[0].Name == f.self.Name
 	var responding []catkinspindle.Node
 	for _, h := range currentHubs {
@@ -240,13 +244,19 @@
 		f.receivingSince = time.Time{}
 		return nil
 	}
+	if f.awaitsHandover(now) {
+		return nil
+	}
 	if f.receivingSince.IsZero() {
 		f.presumeAlive(now)
 	}
 	var lost []catkinspindle.Node
 	live := make([]catkinspindle.Node, 0, len(f.members))
+	heardFromOthers := false
 	for _, n := range f.members {
-		alive := n.Name == f.self.Name || now.Sub(n.lastHeartbeat) < livenessTimeout || now.Sub(n.lastResponse) < livenessTimeout || now.Before(n.presumedAliveUntil)
+		heard := n.heardSince(now.Add(-livenessTimeout))
+		heardFromOthers = heardFromOthers || heard
+		alive := n.Name == f.self.Name || heard || now.Before(n.presumedAliveUntil)
 		if alive {
 			live = append(live, n.Node)
 		}
@@ -255,6 +265,7 @@
 		}
 		n.dead = !alive
 	}
+	f.isolated = f.isolated || (!heardFromOthers && len(f.members) > 1)
 	if coordinator.Name == f.self.Name {
 		f.setLive(newLiveList(live))
 	}
@@ -263,22 +274,27 @@
 
 // excuseSilence treats the live nodes as alive for firstHeartbeatTimeout if this node has sent no
 // heartbeats for a while. It was probably frozen: the silence was its own, and those that have missed
-// it as a hub do not use it for hubCooldown.
+// it as a hub do not use it for hubCooldown. After a longer freeze it needs the list of another hub.
 func (f *Fleet) excuseSilence(now time.Time) {
-	if !f.lastTick.IsZero() && now.Sub(f.lastTick) > maxTickDelay {
+	// The monotonic clock may stand still during a freeze; the wall clock does not.
+	silence := max(now.Sub(f.lastTick), now.Round(0).Sub(f.lastTick.Round(0)))
+	if !f.lastTick.IsZero() && silence > maxTickDelay {
 		for _, n := range f.members {
 			if !n.dead {
 				n.presumedAliveUntil = now.Add(firstHeartbeatTimeout)
 			}
 		}
+		if silence > livenessTimeout {
+			f.lacksListSince = now
+		}
 	}
 	f.lastTick = now
 }
 
-// presumeAlive treats the nodes in the previous coordinator's list, or all known nodes if
-// there is none, as alive until they have had time to send a heartbeat to this node:
-// firstHeartbeatTimeout for those that never did and while this node has just started, since
-// hundreds connect to it then.
+// presumeAlive treats the nodes in the coordinator's list as alive until they have had time to
+// send a heartbeat to this node: firstHeartbeatTimeout for those that never did and while this
+// node has just started, since hundreds connect to it then. Without a list, all registered nodes
+// are treated so until unconfirmedTimeout after the start of this node.
 func (f *Fleet) presumeAlive(now time.Time) {
 	f.receivingSince = now
 	for _, n := range f.members {
@@ -286,9 +302,14 @@
 		if n.lastHeartbeat.IsZero() || now.Sub(f.started) < firstHeartbeatTimeout {
 			limit = firstHeartbeatTimeout
 		}
-		wasLive := len(f.live.nodes) == 0 || slices.ContainsFunc(f.live.nodes, func(l catkinspindle.Node) bool { return l.Name == n.Name })
-		if wasLive {
-			n.presumedAliveUntil = now.Add(limit)
+		until := now.Add(limit)
+		if len(f.live.nodes) == 0 {
+			until = f.unconfirmedUntil()
+		} else if !f.live.contains(n.Name) {
+			continue
+		}
+		if until.After(n.presumedAliveUntil) {
+			n.presumedAliveUntil = until
 		}
 	}
 }
@@ -323,5 +344,5 @@
 	now := time.Now()
 	hub.cooldownUntil = now.Add(hubCooldown)
 	hub.lastResponse = time.Time{}
-	f.updateLiveness(now, f.hubs(now), false)
+	f.replaced = append(f.replaced, f.updateLiveness(now, f.hubs(now))...)
 }
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -39,6 +40,12 @@
 	return liveList{nodes, h.Sum64()}
 }
 
+// contains reports whether a node is in the list.
+func (l liveList) contains(name string) bool {
+	_, found := slices.BinarySearchFunc(l.nodes, name, func(n catkinspindle.Node, name string) int { return cmp.Compare(n.Name, name) })
+	return found
+}
+
 // diff returns the difference between l and next.
 func (l liveList) diff(next liveList) *liveChange {
 	c := &liveChange{FromHash: l.hash}
@@ -109,7 +116,7 @@
 		return // Another response has already changed the list.
 	}
 	for _, n := range c.Updated {
-		f.updateMember(n)
+		f.updateMember(n, time.Now().Add(livenessTimeout))
 	}
 	f.setLive(base.apply(c))
 }
