Remove a registration only at the revision that was read

A node that stops removed the registration of its VM whichever process had written it. A removal that the store carries out seconds later, or that a process sends after its successor has registered, took away the successor's registration, until a hub told the successor 2 s later.

ObjectStore.Remove takes the revision as a condition; a stop passes that of the node's own registration.

Before (condition left out): TestStopKeepsRegistrationOfSuccessor fails, the successor's entry is gone. After: it passes, as does TestRemoveChecksRevision.

--- a/gatewaynode/stop.go
+++ b/gatewaynode/stop.go
@@ -66,12 +66,12 @@
 	return errors.Join(errs...)
 }
 
-// unregister removes the node's registration. A stopped node that is still registered
-// counts as dead for the other nodes.
+// unregister removes the node's registration, unless a later process of this VM has replaced it. A
+// stopped node that is still registered counts as dead for the other nodes.
 func (n *Node) unregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, unregisterTimeout)
 	defer cancel()
-	if err := n.store.Remove(ctx, platform.NodesKind, n.self.Name); err != nil {
+	if err := n.store.Remove(ctx, platform.NodesKind, n.self.Name, n.fleet.Self().RegistrationRevision); err != nil {
 		n.log.Warn("registration could not be removed from the store", events.PlatformFailed.Attr(), "error", err)
 	}
 }
--- a/objects.go
+++ b/objects.go
@@ -41,8 +41,9 @@
 	// predicts whether the object exists: a right prediction takes one call to the
 	// store, a wrong one two.
 	Write(ctx context.Context, kind, name string, spec any, exists bool) (int64, error)
-	// Remove deletes an object. It is no error if the object does not exist.
-	Remove(ctx context.Context, kind, name string) error
+	// Remove deletes an object. It is no error if the object does not exist. If revision is not
+	// zero and the object has another one, Remove returns ErrConflict and deletes nothing.
+	Remove(ctx context.Context, kind, name string, revision int64) error
 }
 
 // Node describes a node to the other nodes.
