End the membership of nodes that are gone for good

A registration stayed in the store until a planned stop removed it. A VM that was replaced after a crash was a member for ever: each start listed it and tried it as a hub, and the retry budget, and the replicas' rate limits where less than half of all nodes that ever were are left, were divided by it too.

The coordinator removes the registration of a node that has given no sign of life for a minute, at the revision that it has read. A node that was only cut off or frozen registers again: it is told by a hub, or sees it in the store, in its watch or in any later list. A node that does so without reaching the coordinator is given twice the time after each removal. The record of a node is kept for a minute after its last sign of life and for 10 s after its registration has ended, so that it keeps its shares until then. Nodes that do not watch the store take the number of members from the coordinator.

Without the removal TestMembershipOfNodeThatIsGoneEnds and TestReplacedNodesLeaveNothingBehind fail in all cases; with it both pass, as do TestNodeThatIsCutOffIsMemberAgain (the store cut or not, removals 5 s late or not) and, with a node of the deploy file's kind, TestRegistrationOfNodeThatIsGoneIsRemoved (64 s).

--- a/events/event.go
+++ b/events/event.go
@@ -23,6 +23,7 @@
 	HubChanged          Event = 3003
 	NodeLost            Event = 3004
 	PathsChanged        Event = 3005
+	MembershipEnded     Event = 3006
 	ReplicaChanged      Event = 4004
 	ReplicaFailed       Event = 4005
 	RateLimited         Event = 4006
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -118,12 +118,15 @@
 	onNodeLost          func(catkinspindle.Node)
 	// stopWatch stops the watch; it is nil while this node does not watch the store.
 	stopWatch context.CancelFunc
-	// registered holds the incarnations in the store by node name; it is nil until this node
+	// registered holds the registrations in the store by node name; it is nil until this node
 	// has listed them. onRegistrationLost is called when this node's is missing;
 	// lastReregistration is the time of the last such call.
-	registered         map[string]int64
+	registered         map[string]registration
 	onRegistrationLost func()
 	lastReregistration time.Time
+	onMembershipEnded  func(catkinspindle.Node)
+	// reportedMembers is the number of members that the coordinator has last reported.
+	reportedMembers int
 	// onRoutingUnclear is called when a node has sent a configuration that does not state whether a key
 	// is required; lastRoutingRead is the time of the last such call.
 	onRoutingUnclear func()
@@ -173,6 +176,13 @@
 	followedAt time.Time
 	// unregisteredSince is the time since which the store does not list the node.
 	unregisteredSince time.Time
+	// learnedAt is when this node first learned of the incarnation, unlistedAt when the
+	// coordinator's list last ceased to contain the node.
+	learnedAt, unlistedAt time.Time
+	// lastRemoval is when this node last attempted to remove its registration, reregistrations
+	// counts how often it has registered again afterwards without a heartbeat to this node.
+	lastRemoval     time.Time
+	reregistrations int
 }
 
 // heardSince reports whether the node has sent a heartbeat or responded to one since a time.
@@ -244,6 +254,7 @@
 		onNodeLost:          func(catkinspindle.Node) {},
 
 		onRegistrationLost: func() {},
+		onMembershipEnded:  func(catkinspindle.Node) {},
 		onRoutingUnclear:   func() {},
 		rateLimits:         ratelimits.New(),
 		quarantine:         quarantine.New(),
@@ -291,15 +302,19 @@
 // SetRegistered replaces the registered nodes with list, which the store has returned.
 func (f *Fleet) SetRegistered(list []catkinspindle.Node) {
 	f.mu.Lock()
-	f.registered = make(map[string]int64, len(list))
+	before := f.registered
+	f.registered = make(map[string]registration, len(list))
 	f.nodesListed = f.stopWatch != nil
 	for _, n := range list {
-		f.registered[n.Name] = n.Incarnation
+		if r, ok := before[n.Name]; ok {
+			f.registered[n.Name] = r
+		}
 		f.updateMember(n, f.unconfirmedUntil())
+		f.setRegistration(n)
 	}
-	for name, n := range f.members {
-		if _, ok := f.registered[name]; !ok && name != f.self.Name && time.Since(n.lastHeartbeat) > livenessTimeout {
-			delete(f.members, name)
+	for name, m := range f.members {
+		if _, ok := f.registered[name]; !ok && name != f.self.Name {
+			f.endRegistration(m)
 		}
 	}
 	lost := f.lostRegistration()
@@ -313,19 +328,24 @@
 func (f *Fleet) AddRegistered(n catkinspindle.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.updateMember(n, time.Now().Add(livenessTimeout))
 	if f.registered != nil {
-		f.registered[n.Name] = n.Incarnation
+		f.setRegistration(n)
 	}
-	f.updateMember(n, time.Now().Add(livenessTimeout))
 }
 
-// RemoveRegistered drops a node whose registration has been removed.
+// RemoveRegistered records that the registration of a node has been removed. If it is this node's, it
+// registers again.
 func (f *Fleet) RemoveRegistered(name string) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	delete(f.registered, name)
-	if name != f.self.Name {
-		delete(f.members, name)
+	if m, ok := f.members[name]; ok && name != f.self.Name {
+		f.endRegistration(m)
+	}
+	lost := name == f.self.Name && f.lostRegistration()
+	f.mu.Unlock()
+	if lost {
+		f.registerAgain("store", "")
 	}
 }
 
@@ -341,7 +361,7 @@
 	}
 	existing, ok := f.members[n.Name]
 	if !ok {
-		f.members[n.Name] = &member{Node: n, presumedAliveUntil: presumedUntil, dead: !time.Now().Before(presumedUntil)}
+		f.members[n.Name] = &member{Node: n, learnedAt: time.Now(), presumedAliveUntil: presumedUntil, dead: !time.Now().Before(presumedUntil)}
 		return
 	}
 	if n.Incarnation < existing.Incarnation {
@@ -349,7 +369,7 @@
 	}
 	if n.Incarnation > existing.Incarnation {
 		f.replaced = append(f.replaced, existing.Node)
-		*existing = member{Node: n, lastHeartbeat: existing.lastHeartbeat, presumedAliveUntil: time.Now().Add(livenessTimeout)}
+		*existing = member{Node: n, learnedAt: time.Now(), lastHeartbeat: existing.lastHeartbeat, presumedAliveUntil: time.Now().Add(livenessTimeout)}
 		return
 	}
 	leaving, pathsLost := existing.Leaving || n.Leaving, existing.PathsLost
@@ -410,13 +430,6 @@
 	return list
 }
 
-// NodeCount returns the number of known nodes, dead ones included.
-func (f *Fleet) NodeCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return max(1, len(f.members))
-}
-
 // Coordinator returns the node that places the jobs of a pool: the first responding hub, or
 // for one of several pools the hub with the highest rendezvous score, so that few pools move
 // when a hub is lost. ok is false when no hub is known to respond.
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -99,6 +99,8 @@
 	Removed      []catkinspindle.Departure `cbor:"20,keyasint,omitempty"`
 	// Handover is the hub's list of live nodes if the heartbeat has requested it.
 	Handover *handover `cbor:"21,keyasint,omitempty"`
+	// MemberCount is the number of members that the hub knows.
+	MemberCount int `cbor:"22,keyasint,omitempty"`
 }
 
 // Wake sends the next heartbeat at once.
@@ -154,8 +156,11 @@
 	if a.Handover != nil {
 		f.adoptHandover(time.Now(), *a.Handover, to.Name)
 	}
-	if a.Live != nil && to.Name == f.coordinator.Name {
-		f.adoptLive(*a.Live)
+	if to.Name == f.coordinator.Name {
+		f.reportedMembers = a.MemberCount
+		if a.Live != nil {
+			f.adoptLive(*a.Live)
+		}
 	}
 	f.mu.Unlock()
 	if a.Unregistered {
@@ -265,6 +270,7 @@
 	f.endIsolation(now)
 	if peer, ok := f.members[m.From.Name]; ok && m.From.Name != f.self.Name && m.From.Incarnation == peer.Incarnation {
 		peer.lastHeartbeat = now
+		peer.reregistrations = 0
 		peer.PathsLost = m.From.PathsLost
 		peer.cooldownUntil = time.Time{}
 		if m.WantsLive {
@@ -276,7 +282,7 @@
 			peer.lastWatchReport = peer.lastHeartbeat
 		}
 	}
-	a := heartbeatResponse{From: f.self, ReplicasAt: state.ReplicasAt, ConfigVersion: state.Version(), StoreLost: f.stopWatch == nil || f.storeLost()}
+	a := heartbeatResponse{From: f.self, ReplicasAt: state.ReplicasAt, ConfigVersion: state.Version(), StoreLost: f.stopWatch == nil || f.storeLost(), MemberCount: len(f.members)}
 	a.EvacuationsAt = state.Evacuations.At
 	if state.Evacuations.At.After(m.EvacuationsAt) {
 		a.Evacuations = &state.Evacuations
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -81,8 +81,17 @@
 	if !isHub {
 		source = f.changesSource(now, others, message.ReplicasAt)
 	}
+	overdue, isOverdue := f.overdueRegistration(now)
+	f.pruneMembers(now)
+	unregistered := f.knowsRegistrations() && f.lostRegistration()
 	f.mu.Unlock()
 	f.reportLost(lost)
+	if isOverdue {
+		f.removeRegistration(overdue)
+	}
+	if unregistered {
+		f.registerAgain("store", "")
+	}
 	if upToDate {
 		f.view.EndProbation(now)
 	}
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -90,6 +90,11 @@
 		f.previousLive = append(f.previousLive, f.live)
 		f.previousLive = f.previousLive[max(0, len(f.previousLive)-maxPreviousLists):]
 	}
+	for _, n := range f.live.nodes {
+		if m, ok := f.members[n.Name]; ok && !l.contains(n.Name) {
+			m.unlistedAt = time.Now()
+		}
+	}
 	f.live = l
 }
 
--- a/fleet/rate_limits.go
+++ b/fleet/rate_limits.go
@@ -8,10 +8,6 @@
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
-// shareRetention is how long a node that does not respond keeps its share of the replicas' rate
-// limits, because it may be cut off and still serve callers.
-const shareRetention = time.Minute
-
 // WithRateLimits sets the table of the replicas' rate limits, which the nodes share.
 func WithRateLimits(t *ratelimits.Table) Option {
 	return func(l *Fleet) { l.rateLimits = t }
@@ -37,7 +33,7 @@
 		if n.Name == f.self.Name || follows {
 			followers++
 		}
-		if n.Name == f.self.Name || follows || now.Sub(n.lastSeen()) < shareRetention {
+		if n.Name == f.self.Name || follows || now.Sub(n.lastSeen()) < membershipTimeout {
 			members++
 		}
 	}
@@ -52,17 +48,6 @@
 	return catkinspindle.RateAuthority{Share: float64(followers) / float64(members), Since: since}
 }
 
-// lastSeen returns when the member last responded or, if later, until when it was presumed alive.
-func (n *member) lastSeen() time.Time {
-	seen := n.presumedAliveUntil
-	for _, t := range []time.Time{n.lastHeartbeat, n.lastResponse, n.followedAt} {
-		if t.After(seen) {
-			seen = t
-		}
-	}
-	return seen
-}
-
 // recordRateLimits records the rate limits of replicas that another node has sent.
 func (f *Fleet) recordRateLimits(list []catkinspindle.RateLimitReport, source string) {
 	for _, l := range f.rateLimits.Apply(time.Now(), list) {
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -22,7 +22,7 @@
 	if !ok || n.RegistrationRevision == 0 || f.stopWatch == nil || f.storeLost() || f.registered == nil {
 		return false
 	}
-	if f.registered[n.Name] >= n.Incarnation {
+	if f.registered[n.Name].incarnation >= n.Incarnation {
 		member.unregisteredSince = time.Time{}
 		return false
 	}
@@ -35,7 +35,7 @@
 // lostRegistration reports whether the store does not list this node although it has
 // registered.
 func (f *Fleet) lostRegistration() bool {
-	return f.self.RegistrationRevision > 0 && f.stopWatch != nil && f.registered[f.self.Name] < f.self.Incarnation
+	return f.self.RegistrationRevision > 0 && f.stopWatch != nil && f.registered[f.self.Name].incarnation < f.self.Incarnation
 }
 
 // registerAgain makes this node register again, unless it is leaving or has done so
--- a/gatewaynode/node.go
+++ b/gatewaynode/node.go
@@ -213,6 +213,7 @@
 		fleet.WithCoordinatorChange(n.coordinatorChanged),
 		fleet.WithHubsChange(func() { n.coordinator.ReportDividedJobs() }),
 		fleet.WithRegistrationLost(n.registrationLost),
+		fleet.WithMembershipEnded(n.removeRegistration),
 		fleet.WithRoutingUnclear(n.readConfig),
 		fleet.WithRateLimits(n.rateLimits),
 		fleet.WithQuarantine(n.quarantine),
--- a/gatewaynode/restored.go
+++ b/gatewaynode/restored.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/events"
 	"github.com/catkinspindle/catkinspindle/platform"
 )
@@ -82,6 +83,18 @@
 	})
 }
 
+// removeRegistration removes the registration of another node, whose membership has ended, unless that
+// node has registered again.
+func (n *Node) removeRegistration(other catkinspindle.Node) {
+	err := n.store.Remove(n.runCtx, platform.NodesKind, other.Name, other.RegistrationRevision)
+	switch {
+	case errors.Is(err, catkinspindle.ErrConflict):
+		n.log.Info("node has registered again, its membership continues", events.MembershipEnded.Attr(), "node", other.Name)
+	case err != nil:
+		n.log.Warn("registration of another node could not be removed, will retry", events.PlatformFailed.Attr(), "node", other.Name, "error", err)
+	}
+}
+
 // otherNodesRegistered reports whether other nodes are registered. It returns true if the
 // store cannot be read.
 func (n *Node) otherNodesRegistered(ctx context.Context) bool {
