Keep hubs that respond when dead nodes come before them

The dead nodes come first in the order of the hubs. Each time their cooldown of 2 s ended they took all four places again, for the 0.8 s of two missed heartbeats, in five groups of four.

A node that has not responded since its last cooldown is still sent heartbeats, but takes no place from one that responds; it is a hub again as soon as it gives a sign of life or the coordinator lists it again. The cooldown of a node that the coordinator does not list doubles up to 32 s.

Before: the case "the first 20 of 24" of TestMembershipOfNodeThatIsGoneEnds fails, nobody coordinates and 18 registrations stay. After: it passes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,8 @@
 	hubCooldown = 2 * time.Second
 	// maxMissedHeartbeats is the number of failed heartbeats in a row that start the cooldown.
 	maxMissedHeartbeats = 2
+	// maxCooldownDoublings limits the doubling of hubCooldown for a dead node.
+	maxCooldownDoublings = 4
 
 	// firstResponseTimeout is how long a new node waits for a hub before it watches the store.
 	firstResponseTimeout = 400 * time.Millisecond
@@ -154,6 +156,10 @@
 	missedHeartbeats int
 	// cooldownUntil is the time until which this node does not use it as a hub.
 	cooldownUntil time.Time
+	// silent is true since a cooldown began until its next sign of life. A silent node is sent
+	// heartbeats after the cooldown but does not count as a hub. cooldowns is their number.
+	silent    bool
+	cooldowns int
 	// lastResponse is when it last responded to a heartbeat.
 	lastResponse time.Time
 	// presumedAliveUntil is the time until which it is considered alive without a heartbeat.
@@ -190,6 +196,18 @@
 	return n.lastHeartbeat.After(t) || n.lastResponse.After(t)
 }
 
+// startCooldown stops using the node as a hub for a time.
+func (n *member) startCooldown(now time.Time, doublings int) {
+	n.cooldownUntil = now.Add(hubCooldown << min(doublings, maxCooldownDoublings))
+	n.cooldowns++
+	n.missedHeartbeats, n.silent = 0, true
+}
+
+// endSilence makes the node a candidate hub again.
+func (n *member) endSilence() {
+	n.silent, n.cooldowns, n.missedHeartbeats, n.cooldownUntil = false, 0, 0, time.Time{}
+}
+
 // positions are positions in the departure log, the table of rate limits and the table of
 // requests that crash replicas.
 type positions struct {
--- a/fleet/handover.go
+++ b/fleet/handover.go
@@ -73,7 +73,7 @@
 		}
 	}
 	f.lacksListSince, f.receivingSince = time.Time{}, now
-	f.replaced = append(f.replaced, f.updateLiveness(now, f.hubs(now))...)
+	f.updateHubs(now)
 }
 
 // endIsolation requests a list of live nodes when this node hears from another one again after it
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -122,8 +122,11 @@
 		if ok {
 			peer.substituteWatchers = 0
 			if peer.missedHeartbeats++; peer.missedHeartbeats >= maxMissedHeartbeats {
-				peer.cooldownUntil = time.Now().Add(hubCooldown)
-				peer.missedHeartbeats = 0
+				doublings := 0
+				if !f.live.contains(to.Name) {
+					doublings = peer.cooldowns
+				}
+				peer.startCooldown(time.Now(), doublings)
 			}
 		}
 		f.mu.Unlock()
@@ -131,12 +134,12 @@
 		return
 	}
 	if ok {
-		peer.missedHeartbeats = 0
+		peer.endSilence()
 		peer.storeLost, peer.substituteWatchers = a.StoreLost, a.SubstituteWatchers
 		firstResponse := peer.lastResponse.IsZero()
 		peer.lastResponse = time.Now()
 		if firstResponse {
-			f.replaced = append(f.replaced, f.updateLiveness(peer.lastResponse, f.hubs(peer.lastResponse))...)
+			f.updateHubs(peer.lastResponse)
 		}
 		if a.From.Incarnation > peer.Incarnation {
 			f.replaced = append(f.replaced, peer.Node)
@@ -272,7 +275,7 @@
 		peer.lastHeartbeat = now
 		peer.reregistrations = 0
 		peer.PathsLost = m.From.PathsLost
-		peer.cooldownUntil = time.Time{}
+		peer.endSilence()
 		if m.WantsLive {
 			peer.followedAt = peer.lastHeartbeat
 		} else {
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -49,7 +49,7 @@
 	if now.Sub(f.lacksListSince) > firstHeartbeatTimeout {
 		f.lacksListSince = time.Time{} // All nodes have had the time to send a heartbeat.
 	}
-	currentHubs := f.hubs(now)
+	currentHubs, silent := f.hubs(now)
 	isHub := false
 	hubResponds, hubReachesStore := false, false
 	informed := f.stopWatch != nil && f.nodesListed && !f.storeLost()
@@ -66,6 +66,10 @@
 			informed = informed || !h.storeLost
 		}
 	}
+	recipients := others
+	for _, n := range silent {
+		recipients = append(recipients, *n)
+	}
 	hubReachesStore = hubReachesStore || (isHub && !f.storeLost())
 	f.updateStoreLostSince(now, !hubReachesStore && (hubResponds || isHub))
 	replicasHash := f.staleReplicasHash()
@@ -96,7 +100,7 @@
 		f.view.EndProbation(now)
 	}
 	f.setWatching(ctx, needed)
-	for _, h := range others {
+	for _, h := range recipients {
 		f.group.Go(func() error {
 			f.exchangeHeartbeat(ctx, h.Node, message.forHub(h.Name == coordinator, source != "" && source != h.Name))
 			return nil
@@ -198,16 +202,21 @@
 	return max(0, index)/probeGroupSize == step%groups
 }
 
-// hubs returns the hubs in the order of membersInHubOrder. Nodes that are leaving, not
-// registered or in cooldown are left out.
-func (f *Fleet) hubs(now time.Time) []*member {
-	list := make([]*member, 0, hubCount)
+// hubs returns the hubs in the order of membersInHubOrder, and the silent nodes before or among them
+// that are sent heartbeats, so that they become hubs again when they respond. Nodes that are leaving,
+// not registered or in cooldown are left out.
+func (f *Fleet) hubs(now time.Time) (hubs, silent []*member) {
+	hubs = make([]*member, 0, hubCount)
 	for _, n := range f.membersInHubOrder() {
-		if n.RegistrationRevision > 0 && now.After(n.cooldownUntil) && !n.Leaving && len(list) < hubCount {
-			list = append(list, n)
+		switch {
+		case n.RegistrationRevision == 0 || n.Leaving || !now.After(n.cooldownUntil) || len(hubs) == hubCount:
+		case !n.silent:
+			hubs = append(hubs, n)
+		case len(silent) < hubCount:
+			silent = append(silent, n)
 		}
 	}
-	return list
+	return hubs, silent
 }
 
 // updateLiveness updates the responding hubs and the coordinator and, on a hub or
@@ -353,5 +362,11 @@
 	now := time.Now()
 	hub.cooldownUntil = now.Add(hubCooldown)
 	hub.lastResponse = time.Time{}
-	f.replaced = append(f.replaced, f.updateLiveness(now, f.hubs(now))...)
+	f.updateHubs(now)
+}
+
+// updateHubs updates the hubs and the liveness between two ticks.
+func (f *Fleet) updateHubs(now time.Time) {
+	hubs, _ := f.hubs(now)
+	f.replaced = append(f.replaced, f.updateLiveness(now, hubs)...)
 }
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -95,6 +95,11 @@
 			m.unlistedAt = time.Now()
 		}
 	}
+	for _, n := range l.nodes {
+		if m, ok := f.members[n.Name]; ok && m.silent && !f.live.contains(n.Name) {
+			m.endSilence()
+		}
+	}
 	f.live = l
 }
 
--- a/fleet/membership_test.go
+++ b/fleet/membership_test.go
@@ -154,6 +154,7 @@
 		"one of nine":                 {9, []int{4}},
 		"the coordinator":             {9, []int{0}},
 		"all hubs":                    {9, []int{0, 1, 2, 3}},
+		"the first 20 of 24":          {24, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19}},
 		"all but one, which has left": {3, []int{0, 1}},
 	}
 	for name, test := range tests {
