Give up a minority's share before the others take it over

A node that is cut off from the others, but not from callers and replicas, kept its share of the replicas' rate limits for good, while the larger part of the fleet took that share over after a minute: together they sent up to 1.2 times (one of five nodes cut off) or 1.4 times (two) what a cold replica allows.

A coordinator that considers less than half of the members alive gives up its share 5 s before the minute ends. It has one again once the memberships of the others have ended or it hears from them. After a freeze of more than 1.1 s no earlier heartbeat counts as support of a coordinator.

Halves of a fleet keep their shares as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,8 +91,11 @@
 	// has just started, was frozen or was cut off. It is zero while it needs none.
 	lacksListSince time.Time
 	// isolated is true while this node hears from no other.
-	isolated    bool
-	coordinator catkinspindle.Node
+	isolated bool
+	// minoritySince is the time since which this node considers less than half of the members
+	// alive, so that the others may be the larger part of the fleet.
+	minoritySince time.Time
+	coordinator   catkinspindle.Node
 	// respondingHubs are the responding hubs in order, including this node if it is a hub.
 	respondingHubs []catkinspindle.Node
 	// isFirstHub is true when this node is first in the order of the hubs, and not only the
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -284,6 +284,11 @@
 		n.dead = !alive
 	}
 	f.isolated = f.isolated || (!heardFromOthers && len(f.members) > 1)
+	if 2*len(live) >= len(f.members) {
+		f.minoritySince = time.Time{}
+	} else if f.minoritySince.IsZero() {
+		f.minoritySince = now
+	}
 	if coordinator.Name == f.self.Name {
 		f.setLive(newLiveList(live))
 	}
@@ -304,6 +309,9 @@
 		}
 		if silence > livenessTimeout {
 			f.lacksListSince = now
+			for _, n := range f.members {
+				n.followedAt = time.Time{}
+			}
 		}
 	}
 	f.lastTick = now
--- a/fleet/membership_test.go
+++ b/fleet/membership_test.go
@@ -223,10 +223,11 @@
 					s.cut[cut] = test.storeCut
 					s.mu.Unlock()
 					net.setDown("peer-"+cut, true)
-					time.Sleep(10 * time.Minute)
-					// The coordinator and the node that is cut off may each try a few times.
-					if most := 40; s.removals > most {
-						t.Errorf("%d removals in 10 min, want %d at most", s.removals, most)
+					time.Sleep(4 * time.Minute)
+					// Both sides may each remove a registration once in the first and once in the
+					// following two minutes.
+					if most := 4 * 6; s.removals > most {
+						t.Errorf("%d removals in 4 min, want %d at most", s.removals, most)
 					}
 					s.mu.Lock()
 					s.cut[cut] = false
@@ -245,6 +246,85 @@
 	}
 }
 
+// Guards against a node that is cut off keeping its share of the replicas' rate limits after the others have
+// taken it over.
+func TestSharesOfDividedFleetAddUpToTheWhole(t *testing.T) {
+	tests := map[string]struct {
+		cut      []int
+		storeCut bool
+	}{
+		"the coordinator":                        {cut: []int{0}},
+		"the coordinator, also from the store":   {cut: []int{0}, storeCut: true},
+		"another node":                           {cut: []int{4}},
+		"another node, also from the store":      {cut: []int{4}, storeCut: true},
+		"two nodes, each from all":               {cut: []int{1, 3}},
+		"two nodes, each from all and the store": {cut: []int{1, 3}, storeCut: true},
+		"all nodes":                              {cut: []int{0, 1, 2, 3, 4}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				net, s := startRegisteredNodes(t, 5)
+				defer stopNodes(t, s.nodes)
+				const settled = 3 * time.Second
+				observe := func(duration time.Duration) {
+					t.Helper()
+					time.Sleep(settled)
+					for end := time.Now().Add(duration - settled); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+						sum := 0.0
+						for _, n := range s.nodes {
+							sum += n.RateAuthority(catkinspindle.Pool{}).Share
+						}
+						if sum > 1.001 {
+							t.Fatalf("shares add up to %.2f of the limit", sum)
+						}
+					}
+				}
+				setCut := func(cut bool) {
+					for _, i := range test.cut {
+						s.mu.Lock()
+						s.cut[s.nodes[i].self.Name] = cut && test.storeCut
+						s.mu.Unlock()
+						net.setDown(s.nodes[i].self.PeerAddress, cut)
+					}
+				}
+				observe(5 * time.Second)
+				setCut(true)
+				observe(2 * time.Minute)
+				setCut(false)
+				observe(30 * time.Second)
+				whole := 0
+				for _, n := range s.nodes {
+					if n.RateAuthority(catkinspindle.Pool{}).Share == 1 {
+						whole++
+					}
+				}
+				if diff := cmp.Diff(1, whole); diff != "" {
+					t.Errorf("coordinators with the whole limit after the cut (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// Neither half of a fleet takes over the share of the other, so both keep theirs.
+func TestHalvesOfFleetKeepTheirShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, s := startRegisteredNodes(t, 2)
+		defer stopNodes(t, s.nodes)
+		time.Sleep(5 * time.Second)
+		net.setDown("peer-n1", true)
+		for range 3 {
+			time.Sleep(50 * time.Second)
+			for _, n := range s.nodes {
+				if diff := cmp.Diff(0.5, n.RateAuthority(catkinspindle.Pool{}).Share); diff != "" {
+					t.Errorf("share of %s (-want +got):\n%s", n.self.Name, diff)
+				}
+			}
+		}
+	})
+}
+
 // VMs that are replaced over time leave nothing behind, neither in the store nor in the nodes.
 func TestReplacedNodesLeaveNothingBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/rate_limits.go
+++ b/fleet/rate_limits.go
@@ -8,6 +8,10 @@
 	"github.com/catkinspindle/catkinspindle/ratelimits"
 )
 
+// takeoverMargin is how long before the larger part of a divided fleet takes over the shares of the
+// rest the rest gives them up. The parts notice the division up to a few seconds apart.
+const takeoverMargin = 5 * time.Second
+
 // WithRateLimits sets the table of the replicas' rate limits, which the nodes share.
 func WithRateLimits(t *ratelimits.Table) Option {
 	return func(l *Fleet) { l.rateLimits = t }
@@ -40,6 +44,9 @@
 	// Only the larger part of a divided fleet takes over the shares of the others.
 	if 2*followers <= len(f.members) {
 		members = len(f.members)
+		if !f.minoritySince.IsZero() && now.Sub(f.minoritySince) > membershipTimeout-takeoverMargin {
+			followers = 0
+		}
 	}
 	since := f.coordinatorSince
 	if p.Divided() {
