--- a/fleet/handover_test.go
+++ b/fleet/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -167,6 +168,52 @@
 	}
 }
 
+// Hubs that restart one after the other, each before it has heard from all nodes, do not extend the time for
+// which they presume that a node is alive.
+func TestRestartsOfHubsDoNotExtendPresumption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 9)
+		f := &lossFleet{t: t, net: net, nodes: nodes, started: make([]time.Time, len(nodes)), gone: 8}
+		defer f.stop()
+		f.observe(4 * time.Second)
+		net.setDown("peer-n8", true)
+		stopNodes(t, nodes[8:])
+		const gap = 700 * time.Millisecond
+		for i := range 20 {
+			f.restart(i % 4)
+			if time.Duration(i)*gap > 6*time.Second {
+				f.observe(gap)
+			} else {
+				time.Sleep(gap)
+			}
+		}
+	})
+}
+
+// The list of live nodes never lacks a node that is alive when all hubs are lost at once.
+func TestLossOfAllHubsKeepsLiveNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := startNodes(t, 12)
+		time.Sleep(4 * time.Second)
+		for _, n := range nodes[:4] {
+			net.setDown(n.self.PeerAddress, true)
+		}
+		stopNodes(t, nodes[:4])
+		left := nodes[4:]
+		defer stopNodes(t, left)
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			for _, n := range left {
+				named := names(n.LiveNodes())
+				for _, other := range left {
+					if !slices.Contains(named, other.self.Name) {
+						t.Fatalf("%s does not name %s, only %v", n.self.Name, other.self.Name, named)
+					}
+				}
+			}
+		}
+	})
+}
+
 // A coordinator that was frozen names no node that has gone meanwhile, whether the freeze stopped its clock
 // or not, and the nodes that follow it again do not either.
 func TestFrozenCoordinatorTakesOverNewList(t *testing.T) {
--- a/fleet/membership_test.go
+++ b/fleet/membership_test.go
@@ -174,7 +174,14 @@
 				}
 				defer stopNodes(t, left)
 				slices.Sort(leftNames)
-				time.Sleep(50 * time.Second)
+				time.Sleep(10 * time.Second)
+				for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+					for _, n := range left {
+						if c, ok := n.Coordinator(catkinspindle.Pool{}); !ok || c.Name != left[0].self.Name {
+							t.Fatalf("coordinator of %s is %q, known: %t, want %s", n.self.Name, c.Name, ok, left[0].self.Name)
+						}
+					}
+				}
 				for _, n := range left {
 					if diff := cmp.Diff(test.count, n.NodeCount()); diff != "" {
 						t.Errorf("members for %s before the timeout (-want +got):\n%s", n.self.Name, diff)
