Compare lists of live nodes once per change

The list of live nodes was searched for each member at each heartbeat, also when it had not changed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,8 +98,8 @@
 	coordinator   catkinspindle.Node
 	// respondingHubs are the responding hubs in order, including this node if it is a hub.
 	respondingHubs []catkinspindle.Node
-	// isFirstHub is true when this node is first in the order of the hubs, and not only the
-	// first one that responds.
+	// isFirstHub is true when this node is first in the order of the hubs, from which silent
+	// nodes are left out, and not only the first one that responds.
 	isFirstHub bool
 	started    time.Time
 	// receivingSince is the time since which this node receives the heartbeats of all others.
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -208,8 +208,10 @@
 func (f *Fleet) hubs(now time.Time) (hubs, silent []*member) {
 	hubs = make([]*member, 0, hubCount)
 	for _, n := range f.membersInHubOrder() {
+		if n.RegistrationRevision == 0 || n.Leaving || !now.After(n.cooldownUntil) || len(hubs) == hubCount {
+			continue
+		}
 		switch {
-		case n.RegistrationRevision == 0 || n.Leaving || !now.After(n.cooldownUntil) || len(hubs) == hubCount:
 		case !n.silent:
 			hubs = append(hubs, n)
 		case len(silent) < hubCount:
--- a/fleet/live.go
+++ b/fleet/live.go
@@ -84,22 +84,22 @@
 	return newLiveList(next)
 }
 
-// setLive replaces the list of live nodes and keeps the previous one.
+// setLive replaces the list of live nodes and keeps the previous one. Nodes that are in it for the
+// first time are candidate hubs again.
 func (f *Fleet) setLive(l liveList) {
-	if l.hash != f.live.hash {
-		f.previousLive = append(f.previousLive, f.live)
-		f.previousLive = f.previousLive[max(0, len(f.previousLive)-maxPreviousLists):]
+	if l.hash == f.live.hash {
+		return
 	}
-	for _, n := range f.live.nodes {
-		if m, ok := f.members[n.Name]; ok && !l.contains(n.Name) {
+	for name, m := range f.members {
+		switch wasLive, isLive := f.live.contains(name), l.contains(name); {
+		case wasLive && !isLive:
 			m.unlistedAt = time.Now()
-		}
-	}
-	for _, n := range l.nodes {
-		if m, ok := f.members[n.Name]; ok && m.silent && !f.live.contains(n.Name) {
+		case !wasLive && isLive && m.silent:
 			m.endSilence()
 		}
 	}
+	f.previousLive = append(f.previousLive, f.live)
+	f.previousLive = f.previousLive[max(0, len(f.previousLive)-maxPreviousLists):]
 	f.live = l
 }
 
