--- a/fleet/handover_test.go
+++ b/fleet/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,8 +25,10 @@
 
 // lossFleet is a fleet of nine nodes whose store still lists a node that is gone for good.
 type lossFleet struct {
-	t       *testing.T
-	net     *network
+	t   *testing.T
+	net *network
+	// mu guards the elements of nodes, which the watches of restarted nodes read.
+	mu      sync.Mutex
 	nodes   []*node
 	started []time.Time
 	gone    int
@@ -46,6 +49,8 @@
 
 // registered returns the registrations in the store.
 func (f *lossFleet) registered() (list []catkinspindle.Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, n := range f.nodes {
 		list = append(list, n.self)
 	}
@@ -60,7 +65,9 @@
 	}
 	self := member(i, old.self.Incarnation+1)
 	n := &node{self: self, view: view.New(nil)}
+	f.mu.Lock()
 	f.nodes[i] = n
+	f.mu.Unlock()
 	n.Fleet = fleet.New(self, endpoint{f.net, self.PeerAddress}, n.view, func(ctx context.Context) {
 		n.SetRegistered(f.registered())
 		<-ctx.Done()
