Refuse the end of an answer before the request is written

Callers got a part of an answer as a whole one: a replica answered a long upload at once without stating a length, sent a part of the body and reset the connection while the upload was still written (MIXED).

Cause: the operating system reports a reset once, to the writer or to the reader. When the write of the request takes it, the reader sees the connection end in order, which is the end of an answer without a length.

The new http1.Conn reports the end of the data only after the request that was begun has been written, and as an error if it could not be written. It does not matter which goroutine comes first: a write that may take the reset is either in progress, and is awaited, or has left its error. A replica that half-closes after its early answer and reads the upload later is awaited too, so its answer arrives. Answers with a length or in chunks end by themselves and do not wait.

--- /dev/null
+++ b/http1/conn.go
@@ -0,0 +1,128 @@
+// Package http1 checks what a client reads from an HTTP/1.1 connection.
+package http1
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+)
+
+// Conn is a client's end of a connection that carries requests one after the other.
+//
+// A response may end with its connection. If the peer resets a connection while the client writes,
+// the operating system reports that to either the writer or the reader, and the other one sees the
+// connection end in order. Read therefore reports the end only after the request has been written,
+// and fails if it could not be written.
+//
+// Bytes that are not HTTP requests are not tracked, such as those of TLS.
+type Conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// changed is signalled when a write has ended, a read has failed or the connection is closed.
+	changed  *sync.Cond
+	request  request
+	writing  bool
+	writeErr error
+	// ended is true once a read has failed.
+	ended, closed bool
+	// holdWriteErrors is true if Write reports an error only when there is nothing left to read.
+	holdWriteErrors bool
+}
+
+// New returns a Conn that uses c.
+func New(c net.Conn) *Conn {
+	guarded := &Conn{Conn: c}
+	guarded.changed = sync.NewCond(&guarded.mu)
+	return guarded
+}
+
+// DialFunc opens connections for an http.Transport.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that opens connections with dial and returns each as a Conn. Its Write
+// reports an error only when there is nothing left to read: an http.Transport that sees the error
+// discards a response that has arrived.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		guarded := New(c)
+		guarded.holdWriteErrors = true
+		return guarded, nil
+	}
+}
+
+// Write implements net.Conn. It must not be called by several goroutines at the same time.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writing = true
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	c.request.advance(p[:n])
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	c.changed.Broadcast()
+	for err != nil && c.holdWriteErrors && !c.ended && !c.closed {
+		c.changed.Wait()
+	}
+	return n, err
+}
+
+// Read implements net.Conn. It returns io.EOF only if all that was begun to be written has been
+// written.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if errors.Is(err, io.EOF) {
+		err = c.awaitRequest()
+	}
+	c.ended = true
+	c.changed.Broadcast()
+	return n, err
+}
+
+// awaitRequest waits until the request has been written and returns io.EOF, or an error if it could
+// not be written. The caller holds mu.
+func (c *Conn) awaitRequest() error {
+	for (c.writing || c.request.unfinished()) && c.writeErr == nil && !c.closed {
+		c.changed.Wait()
+	}
+	switch {
+	case c.writeErr != nil:
+		return fmt.Errorf("connection ended before the request was written: %w", c.writeErr)
+	case c.writing || c.request.unfinished():
+		return net.ErrClosed
+	}
+	return io.EOF
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.changed.Broadcast()
+	return err
+}
+
+// RequestWritten reports whether the last request has been written.
+func (c *Conn) RequestWritten() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.writing && c.writeErr == nil && c.request.phase == betweenRequests
+}
--- /dev/null
+++ b/http1/request.go
@@ -0,0 +1,92 @@
+package http1
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// maxTrackedLine is how much of a header line is kept in bytes, enough for those that state the
+// length of a body.
+const maxTrackedLine = 64
+
+// phase is the part of a request that is written next.
+type phase int
+
+const (
+	// betweenRequests is before the first byte of a request.
+	betweenRequests phase = iota
+	inHead
+	inBody
+	// untracked is after bytes whose end is not known.
+	untracked
+)
+
+// request follows the requests that are written on a connection.
+type request struct {
+	phase phase
+	// line is the begin of the current line of the head.
+	line []byte
+	// remaining is the number of bytes of the body that are not written yet.
+	remaining int64
+}
+
+// unfinished reports whether a part of the body is not written yet.
+func (r *request) unfinished() bool { return r.phase == inBody }
+
+// advance records that p has been written.
+func (r *request) advance(p []byte) {
+	for len(p) > 0 && r.phase != untracked {
+		switch r.phase {
+		case betweenRequests:
+			r.begin(p[0])
+		case inHead:
+			p = r.advanceHead(p)
+		case inBody:
+			n := min(r.remaining, int64(len(p)))
+			p = p[n:]
+			if r.remaining -= n; r.remaining == 0 {
+				r.phase = betweenRequests
+			}
+		}
+	}
+}
+
+// begin begins a request if first may be the first byte of one: methods are in upper case.
+func (r *request) begin(first byte) {
+	*r = request{phase: untracked, line: r.line[:0]}
+	if first >= 'A' && first <= 'Z' {
+		r.phase = inHead
+	}
+}
+
+// advanceHead records the first line of p and returns the rest.
+func (r *request) advanceHead(p []byte) []byte {
+	line, rest, ended := bytes.Cut(p, []byte("\n"))
+	r.line = append(r.line, line[:min(len(line), maxTrackedLine-len(r.line))]...)
+	if ended {
+		r.endLine(strings.TrimSuffix(string(r.line), "\r"))
+		r.line = r.line[:0]
+	}
+	return rest
+}
+
+// endLine interprets a line of the head.
+func (r *request) endLine(line string) {
+	name, value, _ := strings.Cut(line, ":")
+	switch {
+	case line == "" && r.remaining > 0:
+		r.phase = inBody
+	case line == "":
+		r.phase = betweenRequests
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		r.phase = untracked
+	case strings.EqualFold(name, "Content-Length"):
+		n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+		if err != nil {
+			r.phase = untracked
+			return
+		}
+		r.remaining = n
+	}
+}
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -105,8 +105,7 @@
 }
 
 func (c *Client) exchange(conn *conn, e catkinspindle.Envelope, a catkinspindle.Attempt) (*catkinspindle.Answer, error) {
-	requestWritten, err := c.write(conn, e, c.encode(e, a))
-	if err != nil {
+	if err := c.write(conn, e, c.encode(e, a)); err != nil {
 		return nil, err
 	}
 	for range maxStaleResponses + 1 {
@@ -135,12 +134,11 @@
 			return nil, fmt.Errorf("response with status %d on a reused connection has no request ID", head.Status)
 		}
 		b := &body{
-			Reader:         resp.Body,
-			conn:           conn,
-			pool:           c.pool,
-			requestWritten: requestWritten,
-			reusable:       !resp.Close && !conn.relayed() && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0),
-			idleTimeout:    head.KeepAlive,
+			Reader:      resp.Body,
+			conn:        conn,
+			pool:        c.pool,
+			reusable:    !resp.Close && !conn.relayed() && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0),
+			idleTimeout: head.KeepAlive,
 		}
 		return &catkinspindle.Answer{AnswerHead: head, Length: resp.ContentLength, Body: b}, nil
 	}
@@ -148,9 +146,8 @@
 }
 
 // write sends the request. A body over maxInlineBodyBytes is written in the
-// background, because a replica may respond before it has read the whole body. The
-// function that it returns reports whether the whole request has been written.
-func (c *Client) write(conn *conn, e catkinspindle.Envelope, h http.Header) (func() bool, error) {
+// background, because a replica may respond before it has read the whole body.
+func (c *Client) write(conn *conn, e catkinspindle.Envelope, h http.Header) error {
 	w := bufio.NewWriterSize(conn.net, 4<<10)
 	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", e.Method, e.Target, e.Host)
 	if len(e.Body) > 0 || e.Method == http.MethodPost || e.Method == http.MethodPut || e.Method == http.MethodPatch {
@@ -160,23 +157,16 @@
 	_, _ = w.WriteString("\r\n")
 	if len(e.Body) <= maxInlineBodyBytes {
 		_, _ = w.Write(e.Body)
-		// Flush returns the first error of all writes.
-		return func() bool { return true }, w.Flush()
+		return w.Flush() // It returns the first error of all writes.
+	}
+	if err := w.Flush(); err != nil {
+		return err
 	}
-	done := make(chan error, 1)
 	c.group.Go(func() error {
-		_, _ = w.Write(e.Body)
-		done <- w.Flush()
+		_, _ = conn.net.Write(e.Body) // Reading the response reports the error.
 		return nil
 	})
-	return func() bool {
-		select {
-		case err := <-done:
-			return err == nil
-		default:
-			return false
-		}
-	}, nil
+	return nil
 }
 
 func readResponseHead(conn *conn, method string) (*http.Response, error) {
@@ -228,13 +218,12 @@
 // body has been read to its end and no further bytes have arrived.
 type body struct {
 	io.Reader
-	conn           *conn
-	pool           *pool
-	stopClose      func() bool
-	requestWritten func() bool
-	reusable       bool
-	complete       bool
-	idleTimeout    time.Duration
+	conn        *conn
+	pool        *pool
+	stopClose   func() bool
+	reusable    bool
+	complete    bool
+	idleTimeout time.Duration
 }
 
 // Read implements io.Reader.
@@ -256,7 +245,7 @@
 	conn.releaseHead()
 	// If stopClose returns false, the context has ended and closes the connection.
 	active := b.stopClose()
-	if active && b.complete && b.reusable && b.requestWritten() && conn.reader.Buffered() == 0 {
+	if active && b.complete && b.reusable && conn.net.RequestWritten() && conn.reader.Buffered() == 0 {
 		b.pool.put(conn, b.idleTimeout)
 		return nil
 	}
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/buffers"
+	"github.com/catkinspindle/catkinspindle/http1"
 )
 
 const (
@@ -54,7 +55,7 @@
 
 // conn is a connection to one incarnation of a replica.
 type conn struct {
-	net       net.Conn
+	net       *http1.Conn
 	reader    *bufio.Reader
 	readLimit int
 	// buffers is the budget of response heads. reads counts the reads of the current head, held
@@ -119,14 +120,14 @@
 // relayed reports whether the connection goes through another node. Such a connection carries one
 // request only, so that the next one can use this node's own path again.
 func (c *conn) relayed() bool {
-	_, ok := c.net.(catkinspindle.Tunnel)
+	_, ok := c.net.Conn.(catkinspindle.Tunnel)
 	return ok
 }
 
 // isIdle reports whether the peer has neither sent data on the unused connection nor
 // closed it.
 func (c *conn) isIdle() bool {
-	sc, ok := c.net.(syscall.Conn)
+	sc, ok := c.net.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -221,7 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{net: n, replica: r, readLimit: noLimit, buffers: p.buffers, lastRead: time.Now()}
+	c := &conn{net: http1.New(n), replica: r, readLimit: noLimit, buffers: p.buffers, lastRead: time.Now()}
 	c.reader = bufio.NewReaderSize(c, 4<<10)
 	return c, nil
 }
