Pass on whether an answer was whole through another node

Through another node callers also got a part of an answer without a length as a whole one when the replica half-closed and reset the connection during the upload. Early answers of the other kinds were lost altogether: the stream was cancelled before the bytes that the replica had sent were delivered, also where a length shows that they are the whole answer.

Cause: the relaying node copies each direction on its own. The one that writes took the error of the reset and closed the connection, with the answer unread; the other one saw the end in order and closed the tunnel as if the replica had sent everything. A cancelled stream drops what is not delivered.

The relaying node reads the replica's connection through http1.Conn, so an end during the upload is an error there. A failed write no longer closes the connection: what the replica does not read is discarded until the node closes. A tunnel that is aborted still delivers what was written, if both nodes have this version; with an older one it is dropped as before.

--- a/connector.go
+++ b/connector.go
@@ -32,7 +32,7 @@
 type Tunnel interface {
 	net.Conn
 	// Abort closes the tunnel so that the other end sees an error instead of the end of the
-	// data.
+	// data, after the data that has been written.
 	Abort()
 }
 
--- a/peers/transport.go
+++ b/peers/transport.go
@@ -162,6 +162,8 @@
 		MaxIdleTimeout:     idleTimeout,
 		KeepAlivePeriod:    keepAliveInterval,
 		MaxIncomingStreams: maxIncomingCalls,
+
+		EnableStreamResetPartialDelivery: true,
 	}
 }
 
--- a/peers/tunnel.go
+++ b/peers/tunnel.go
@@ -68,10 +68,12 @@
 	return t.Stream.Close()
 }
 
-// Abort implements catkinspindle.Tunnel.
+// Abort implements catkinspindle.Tunnel. What has been written is still sent if the peer supports
+// stream resets with partial delivery.
 func (t *tunnel) Abort() {
 	defer t.release()
 	t.CancelRead(abortedCode)
+	t.SetReliableBoundary()
 	t.CancelWrite(abortedCode)
 }
 
--- a/relays/serve.go
+++ b/relays/serve.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/http1"
 )
 
 const (
@@ -133,14 +134,18 @@
 // relay passes bytes between a node and a replica until one of them closes. A connection that
 // broke must not look like one that ended. ctx is done when the node does not read any more: it has
 // closed, which is not seen otherwise while the replica neither reads nor writes.
-func relay(ctx context.Context, t catkinspindle.Tunnel, conn net.Conn) {
+func relay(ctx context.Context, t catkinspindle.Tunnel, replica net.Conn) {
+	conn := http1.New(replica)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now().Add(lastWrites)) })
 	defer stop()
 	var group errgroup.Group
 	group.Go(func() error {
-		_, err := io.Copy(conn, t)
-		_ = conn.Close() // The other direction reports what matters to the node.
-		return err
+		_, _ = io.Copy(conn, t) // The other direction reports what matters to the node.
+		// A replica may answer without reading the whole request. Its connection stays open until
+		// the node closes, because the answer may not have been read yet.
+		_, _ = io.Copy(io.Discard, t)
+		_ = conn.Close()
+		return nil
 	})
 	if _, err := io.Copy(t, conn); err != nil {
 		t.Abort()
@@ -148,5 +153,5 @@
 		_ = t.Close() // The replica has sent everything.
 	}
 	_ = conn.Close()
-	_ = group.Wait() // The node has closed the tunnel, or the replica the connection.
+	_ = group.Wait() // It returns no error.
 }
