Check the end of answers in all HTTP clients

A plain call of 8 MiB got a part of a reply without a length as a whole one when the replica reset the connection during the upload. A whole reply with a length that came before such a reset was lost in some runs and became may-have-run.

The connections of all clients that use net/http are http1.Conn now: plain services and engines (wire), orders and the store (platform), callers (entries) and the operators' commands. There a failed write is reported when there is nothing left to read, so the response comes first.

--- a/commands/operators.go
+++ b/commands/operators.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/http1"
 	"github.com/catkinspindle/catkinspindle/manifest"
 	"github.com/catkinspindle/catkinspindle/operators"
 	"github.com/catkinspindle/catkinspindle/wire"
@@ -46,6 +48,7 @@
 func newOperatorClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		Proxy:                  http.ProxyFromEnvironment,
+		DialContext:            http1.Dial((&net.Dialer{}).DialContext),
 		MaxResponseHeaderBytes: maxOperatorHeaderBytes,
 		DisableKeepAlives:      true,
 	}}
--- a/entries/client.go
+++ b/entries/client.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"github.com/catkinspindle/catkinspindle"
 	"github.com/catkinspindle/catkinspindle/callers"
+	"github.com/catkinspindle/catkinspindle/http1"
 	"github.com/catkinspindle/catkinspindle/wire"
 )
 
@@ -46,9 +48,14 @@
 // whose URLs it has cached and, if none of them answers, from those at urls.
 func New(apiKey string, urls ...string) *Client {
 	return &Client{
-		apiKey:     apiKey,
-		seedURLs:   urls,
-		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}},
+		apiKey:   apiKey,
+		seedURLs: urls,
+		httpClient: &http.Client{Transport: &http.Transport{
+			DialContext:            http1.Dial((&net.Dialer{}).DialContext),
+			MaxIdleConnsPerHost:    256,
+			IdleConnTimeout:        5 * time.Second,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
 	}
 }
 
--- a/wire/client.go
+++ b/wire/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/catkinspindle/catkinspindle"
+	"github.com/catkinspindle/catkinspindle/http1"
 	"github.com/catkinspindle/catkinspindle/readbudget"
 )
 
@@ -53,14 +54,14 @@
 // WithConnector sets how connections are opened. The default dials directly.
 func WithConnector(c catkinspindle.Connector) Option {
 	return func(_ *Client, t *http.Transport) {
-		t.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return c.Connect(ctx, address) }
+		t.DialContext = http1.Dial(func(ctx context.Context, _, address string) (net.Conn, error) { return c.Connect(ctx, address) })
 	}
 }
 
 // NewClient returns a client whose connection attempts time out after dialTimeout.
 func NewClient(dialTimeout time.Duration, opts ...Option) *Client {
 	transport := &http.Transport{
-		DialContext:         dialContext(dialTimeout),
+		DialContext:         http1.Dial(dialContext(dialTimeout)),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 
