Refuse answers whose status is not that of a response

Callers got an answer that no replica gave: the head of an answer with the status 000, 007, 099 or +42 was skipped like an interim one, and the answer was read from what followed, also from its body. Plain calls handed on the status 000. An order's answer with the status 000 marked its replica as leaving, and one of the store could begin an era, after which all valid answers were refused as stale.

Cause: net/http accepts any three characters that are a number, and every status below 200 counted as interim.

http1.Conn reads the status line of each response before net/http does, with WithHeadCheck, and fails the read. Which statuses are valid is that of RFC 9110: 100 to 599 (section 15); a client should take others for a server error, which an attempt without an answer becomes (502, or another attempt where the route allows one). 101 only answers an Upgrade header (section 7.8), which is never sent to replicas, and what follows it is not HTTP: refused. Other interim heads are still skipped. The failure is may-have-run.

The check follows the bytes as they are read and keeps none of them. It begins anew with each request, before its first byte is written, and with the head after a stale response.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -17,14 +17,20 @@
 // connection end in order. Read therefore reports the end only after the request has been written,
 // and fails if it could not be written.
 //
-// Bytes that are not HTTP requests are not tracked, such as those of TLS.
+// With WithHeadCheck, Read also fails on a malformed head of a response, of which net/http accepts
+// some.
+//
+// Bytes that are not HTTP are not checked, such as those of TLS.
 type Conn struct {
 	net.Conn
+	checkHeads bool
 
 	mu sync.Mutex
 	// changed is signalled when a write has ended, a read has failed or the connection is closed.
 	changed  *sync.Cond
 	request  request
+	head     responseHead
+	headErr  error
 	writing  bool
 	writeErr error
 	// ended is true once a read has failed.
@@ -33,18 +39,28 @@
 	holdWriteErrors bool
 }
 
+// Option configures a Conn.
+type Option func(*Conn)
+
+// WithHeadCheck checks the heads of the responses: the interim ones and the first final one after
+// the begin of a request or NextResponse.
+func WithHeadCheck() Option { return func(c *Conn) { c.checkHeads = true } }
+
 // New returns a Conn that uses c.
-func New(c net.Conn) *Conn {
+func New(c net.Conn, opts ...Option) *Conn {
 	guarded := &Conn{Conn: c}
 	guarded.changed = sync.NewCond(&guarded.mu)
+	for _, opt := range opts {
+		opt(guarded)
+	}
 	return guarded
 }
 
 // DialFunc opens connections for an http.Transport.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial returns a function that opens connections with dial and returns each as a Conn. Its Write
-// reports an error only when there is nothing left to read: an http.Transport that sees the error
+// Dial returns a function that opens connections with dial and returns each as a Conn that checks
+// heads. Its Write reports an error only when there is nothing left to read: an http.Transport that sees the error
 // discards a response that has arrived.
 func Dial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -52,7 +68,7 @@
 		if err != nil {
 			return nil, err
 		}
-		guarded := New(c)
+		guarded := New(c, WithHeadCheck())
 		guarded.holdWriteErrors = true
 		return guarded, nil
 	}
@@ -62,12 +78,15 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.writing = true
+	// The response to a request that begins may be read before the write returns.
+	if c.request.advance(p) {
+		c.head = responseHead{}
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = false
-	c.request.advance(p[:n])
 	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
@@ -82,19 +101,39 @@
 // written.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == nil {
-		return n, nil
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if headErr := c.checkHead(p[:n]); headErr != nil {
+		n, err = 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.awaitRequest()
 	}
-	c.ended = true
-	c.changed.Broadcast()
+	if err != nil {
+		c.ended = true
+		c.changed.Broadcast()
+	}
 	return n, err
 }
 
+// NextResponse begins the check of another response to the last request. buffered is the part of it
+// that has been read. The caller must not be reading.
+func (c *Conn) NextResponse(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = responseHead{}
+	return c.checkHead(buffered)
+}
+
+// checkHead checks p if it belongs to the head of a response. After an error it always returns
+// that. The caller holds mu.
+func (c *Conn) checkHead(p []byte) error {
+	if c.checkHeads && c.headErr == nil && c.request.phase != notHTTP {
+		c.headErr = c.head.check(p)
+	}
+	return c.headErr
+}
+
 // awaitRequest waits until the request has been written and returns io.EOF, or an error if it could
 // not be written. The caller holds mu.
 func (c *Conn) awaitRequest() error {
--- a/http1/request.go
+++ b/http1/request.go
@@ -18,8 +18,10 @@
 	betweenRequests phase = iota
 	inHead
 	inBody
-	// untracked is after bytes whose end is not known.
+	// untracked is after the head of a request whose end is not known.
 	untracked
+	// notHTTP is after bytes that begin no request.
+	notHTTP
 )
 
 // request follows the requests that are written on a connection.
@@ -34,12 +36,13 @@
 // unfinished reports whether a part of the body is not written yet.
 func (r *request) unfinished() bool { return r.phase == inBody }
 
-// advance records that p has been written.
-func (r *request) advance(p []byte) {
-	for len(p) > 0 && r.phase != untracked {
+// advance moves on by p, which is written next. It reports whether a request begins in p.
+func (r *request) advance(p []byte) (begins bool) {
+	for len(p) > 0 {
 		switch r.phase {
 		case betweenRequests:
 			r.begin(p[0])
+			begins = true
 		case inHead:
 			p = r.advanceHead(p)
 		case inBody:
@@ -48,19 +51,22 @@
 			if r.remaining -= n; r.remaining == 0 {
 				r.phase = betweenRequests
 			}
+		case untracked, notHTTP:
+			return begins
 		}
 	}
+	return begins
 }
 
 // begin begins a request if first may be the first byte of one: methods are in upper case.
 func (r *request) begin(first byte) {
-	*r = request{phase: untracked, line: r.line[:0]}
+	*r = request{phase: notHTTP, line: r.line[:0]}
 	if first >= 'A' && first <= 'Z' {
 		r.phase = inHead
 	}
 }
 
-// advanceHead records the first line of p and returns the rest.
+// advanceHead moves on by the first line of p and returns the rest.
 func (r *request) advanceHead(p []byte) []byte {
 	line, rest, ended := bytes.Cut(p, []byte("\n"))
 	r.line = append(r.line, line[:min(len(line), maxTrackedLine-len(r.line))]...)
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -120,6 +120,9 @@
 			if err == nil && n > maxStaleBodyBytes {
 				err = fmt.Errorf("body exceeds %d bytes", maxStaleBodyBytes)
 			}
+			if err == nil {
+				err = conn.nextResponse()
+			}
 			if err != nil {
 				return nil, fmt.Errorf("skipping the response to another request: %w", err)
 			}
--- a/replicas/pool.go
+++ b/replicas/pool.go
@@ -95,6 +95,15 @@
 	return n, err
 }
 
+// nextResponse begins the check of another response. Its first bytes may be in the reader.
+func (c *conn) nextResponse() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.net.NextResponse(buffered)
+}
+
 // setReadLimit limits the bytes that are read from now on to n.
 func (c *conn) setReadLimit(n int) { c.readLimit, c.reads = n, 0 }
 
@@ -222,7 +231,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{net: http1.New(n), replica: r, readLimit: noLimit, buffers: p.buffers, lastRead: time.Now()}
+	c := &conn{net: http1.New(n, http1.WithHeadCheck()), replica: r, readLimit: noLimit, buffers: p.buffers, lastRead: time.Now()}
 	c.reader = bufio.NewReaderSize(c, 4<<10)
 	return c, nil
 }
--- a/standin/brokenhttp/server.go
+++ b/standin/brokenhttp/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 type Server struct {
 	// Bytes are sent as they are.
 	Bytes string
+	// Later is sent instead of Bytes on all connections but the first, unless it is empty.
+	Later string
 	// HalfClose ends the server's direction of the connection after Bytes.
 	HalfClose bool
 	// ReadUpload reads the request's body before the connection ends.
@@ -41,23 +44,25 @@
 			if err != nil {
 				return err
 			}
+			answer := s.Bytes
 			group.Go(func() error {
-				s.serve(c)
+				s.serve(c, answer)
 				return nil
 			})
+			s.Bytes = cmp.Or(s.Later, s.Bytes)
 		}
 	})
 	return l.Addr().String(), func() error { return errors.Join(l.Close(), group.Wait()) }, nil
 }
 
 // serve serves one connection. Its errors show at the client.
-func (s Server) serve(c *net.TCPConn) {
+func (s Server) serve(c *net.TCPConn, answer string) {
 	defer func() { _ = c.Close() }()
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(c, s.Bytes)
+	_, _ = io.WriteString(c, answer)
 	if s.HalfClose {
 		_ = c.CloseWrite()
 	}
