--- a/standin/brokenhttp/server.go
+++ b/standin/brokenhttp/server.go
@@ -36,7 +36,7 @@
 	}
 	var group errgroup.Group
 	group.Go(func() error {
-		for {
+		for answer := s.Bytes; ; answer = cmp.Or(s.Later, s.Bytes) {
 			c, err := l.AcceptTCP()
 			if errors.Is(err, net.ErrClosed) {
 				return nil
@@ -44,12 +44,10 @@
 			if err != nil {
 				return err
 			}
-			answer := s.Bytes
 			group.Go(func() error {
 				s.serve(c, answer)
 				return nil
 			})
-			s.Bytes = cmp.Or(s.Later, s.Bytes)
 		}
 	})
 	return l.Addr().String(), func() error { return errors.Join(l.Close(), group.Wait()) }, nil
