Refuse answers with a malformed name in their head

Callers got answers with a blank in the name of a field: the line was passed on, or the body was not that of the replica, because the blank hid Content-Length, Transfer-Encoding or Content-Encoding. A blank at the begin of a line made it a part of the line before, the seal's too. A 503 kept the promise not to have run. Plain calls and callers (entries) got other bodies; an order's answer reserved memory and marked its replica as leaving; an answer of the store could begin an era.

Cause: net/textproto takes blanks in names and continued lines. It refuses the other bytes that are not of a token, also control bytes: these cases passed before and are kept in the test.

http1.Conn checks that each name is a token before net/http reads the line (RFC 9112, section 5.1), and refuses lines that begin with a blank. A gateway may refuse continued lines (section 5.2), and they cannot be told from names that begin with a blank. The same holds for interim heads and for those of stale responses. Trailers are discarded as before: their names change neither the body nor where it ends.

golang.org/x/net, which other modules already needed, is used for the characters of a token.

--- a/http1/response.go
+++ b/http1/response.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -17,7 +19,10 @@
 	switchingProtocols = 101
 )
 
-var errStatusLine = errors.New("malformed status line of a response")
+var (
+	errStatusLine = errors.New("malformed status line of a response")
+	errFoldedLine = errors.New("line of a response head begins with a blank")
+)
 
 // headPart is the part of a response head that is read next.
 type headPart int
@@ -27,7 +32,8 @@
 	inStatus
 	inReason
 	atLineStart
-	inLine
+	inName
+	inValue
 	// atEmptyLineEnd is after the carriage return of the line that ends the head.
 	atEmptyLineEnd
 	// headEnded is after the head of a final response.
@@ -66,19 +72,14 @@
 		}
 	case inStatus:
 		return h.nextOfStatus(b)
-	case inReason, inLine:
+	case inReason, inValue:
 		if b == '\n' {
 			h.part = atLineStart
 		}
 	case atLineStart:
-		switch b {
-		case '\r':
-			h.part = atEmptyLineEnd
-		case '\n':
-			h.end()
-		default:
-			h.part = inLine
-		}
+		return h.nextOfLine(b)
+	case inName:
+		return h.nextOfName(b)
 	case atEmptyLineEnd:
 		if b != '\n' {
 			return errors.New("carriage return within a response head")
@@ -108,6 +109,37 @@
 	return nil
 }
 
+func (h *responseHead) nextOfLine(b byte) error {
+	switch b {
+	case '\r':
+		h.part = atEmptyLineEnd
+	case '\n':
+		h.end()
+	case ' ', '\t':
+		// Either a name that begins with a blank, or a continued line, which a gateway may refuse
+		// (RFC 9112, section 5.2).
+		return errFoldedLine
+	case ':':
+		return errors.New("field of a response without a name")
+	default:
+		h.part = inName
+		return h.nextOfName(b)
+	}
+	return nil
+}
+
+// nextOfName reads a byte of a field's name, which is a token that ends at the colon (RFC 9112,
+// section 5.1).
+func (h *responseHead) nextOfName(b byte) error {
+	switch {
+	case b == ':':
+		h.part = inValue
+	case !httpguts.IsTokenRune(rune(b)):
+		return fmt.Errorf("name of a response's field has the byte %#02x", b)
+	}
+	return nil
+}
+
 // end ends a head. After an interim one, another follows.
 func (h *responseHead) end() {
 	final := h.status >= minFinalStatus
--- a/plainservices/malformed_head_test.go
+++ b/plainservices/malformed_head_test.go
@@ -17,6 +17,9 @@
 		"status 000":          {"HTTP/1.1 000 X\r\nContent-Length: 4\r\n", false},
 		"status 042":          {"HTTP/1.1 042 X\r\nContent-Length: 4\r\n", false},
 		"status 600":          {"HTTP/1.1 600 X\r\nContent-Length: 4\r\n", false},
+		"blank in a name":     {"HTTP/1.1 200 OK\r\nX y: z\r\nContent-Length: 4\r\n", false},
+		"blank before length": {"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n", false},
+		"blank before colon":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n", false},
 		"switching protocols": {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n", false},
 	}
 	for name, tt := range tests {
