Write the begin of a large body together with its head

Since the head of a request with a large body was written alone, one call more than before. The first part of the body that fits the writer's buffer goes with it again; the rest is written in the background as before. The lines of a request's head are no longer copied to strings.

--- a/http1/request.go
+++ b/http1/request.go
@@ -3,13 +3,17 @@
 import (
 	"bytes"
 	"strconv"
-	"strings"
 )
 
 // maxTrackedLine is how much of a header line is kept in bytes, enough for those that state the
 // length of a body.
 const maxTrackedLine = 64
 
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
+
 // phase is the part of a request that is written next.
 type phase int
 
@@ -71,24 +75,24 @@
 	line, rest, ended := bytes.Cut(p, []byte("\n"))
 	r.line = append(r.line, line[:min(len(line), maxTrackedLine-len(r.line))]...)
 	if ended {
-		r.endLine(strings.TrimSuffix(string(r.line), "\r"))
+		r.endLine(bytes.TrimSuffix(r.line, []byte("\r")))
 		r.line = r.line[:0]
 	}
 	return rest
 }
 
 // endLine interprets a line of the head.
-func (r *request) endLine(line string) {
-	name, value, _ := strings.Cut(line, ":")
+func (r *request) endLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch {
-	case line == "" && r.remaining > 0:
+	case len(line) == 0 && r.remaining > 0:
 		r.phase = inBody
-	case line == "":
+	case len(line) == 0:
 		r.phase = betweenRequests
-	case strings.EqualFold(name, "Transfer-Encoding"):
+	case bytes.EqualFold(name, transferEncoding):
 		r.phase = untracked
-	case strings.EqualFold(name, "Content-Length"):
-		n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+	case bytes.EqualFold(name, contentLength):
+		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 		if err != nil {
 			r.phase = untracked
 			return
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -148,7 +148,7 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-// write sends the request. A body over maxInlineBodyBytes is written in the
+// write sends the request. The rest of a body over maxInlineBodyBytes is written in the
 // background, because a replica may respond before it has read the whole body.
 func (c *Client) write(conn *conn, e catkinspindle.Envelope, h http.Header) error {
 	w := bufio.NewWriterSize(conn.net, 4<<10)
@@ -158,15 +158,16 @@
 	}
 	_ = h.Write(w)
 	_, _ = w.WriteString("\r\n")
-	if len(e.Body) <= maxInlineBodyBytes {
-		_, _ = w.Write(e.Body)
-		return w.Flush() // It returns the first error of all writes.
+	first := len(e.Body)
+	if first > maxInlineBodyBytes {
+		first = w.Available()
 	}
-	if err := w.Flush(); err != nil {
-		return err
+	_, _ = w.Write(e.Body[:first])
+	if err := w.Flush(); err != nil || first == len(e.Body) {
+		return err // That of the first write that failed.
 	}
 	c.group.Go(func() error {
-		_, _ = conn.net.Write(e.Body) // Reading the response reports the error.
+		_, _ = conn.net.Write(e.Body[first:]) // Reading the response reports the error.
 		return nil
 	})
 	return nil
