Refuse the end of an answer before the request is delivered

Uploads that fit the socket's buffers could still end with a part of an answer as a whole one: a replica that has gone, or half-closed, ends its answer in order and the reset follows, when the rest of the upload reaches it. The write had succeeded by then, into the buffer of this system.

http1.Conn asks the system at the end of the data how much of what was written the peer has not acknowledged. Nothing: the end counts. Something: it waits until it is nothing, or the connection is reset, which is an error. The segment that ends an answer also acknowledges what has arrived, so there is nothing to wait for when the whole upload was read. Linux only; other systems do not tell.

Evidence: TestEarlyAnswers with 1 MiB, half-closed and reset, fails without the change.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -8,14 +8,26 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 )
 
+const (
+	// minDeliveryCheck and maxDeliveryCheck are the pauses between checks whether what was written
+	// has been delivered. Each pause is twice the one before.
+	minDeliveryCheck = time.Millisecond
+	maxDeliveryCheck = 64 * time.Millisecond
+)
+
+var errResetBeforeDelivery = errors.New("connection was reset before the request was delivered")
+
 // Conn is a client's end of a connection that carries requests one after the other.
 //
 // A response may end with its connection. If the peer resets a connection while the client writes,
 // the operating system reports that to either the writer or the reader, and the other one sees the
-// connection end in order. Read therefore reports the end only after the request has been written,
-// and fails if it could not be written.
+// connection end in order. A peer that has gone may also end the connection in order before the rest
+// of the request reaches it. Read therefore reports the end only after the request has been written
+// and the peer's system has acknowledged it, and fails if that is not possible.
 //
 // With WithHeadCheck, Read also fails on a malformed head of a response, of which net/http accepts
 // some.
@@ -101,14 +113,14 @@
 // written.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.awaitEnd()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if headErr := c.checkHead(p[:n]); headErr != nil {
 		n, err = 0, headErr
 	}
-	if errors.Is(err, io.EOF) {
-		err = c.awaitRequest()
-	}
 	if err != nil {
 		c.ended = true
 		c.changed.Broadcast()
@@ -116,6 +128,18 @@
 	return n, err
 }
 
+// awaitEnd waits until the request has been written and delivered and returns io.EOF, or an error if
+// that is not possible.
+func (c *Conn) awaitEnd() error {
+	if err := c.awaitWrite(); err != nil {
+		return err
+	}
+	if err := c.awaitDelivery(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // NextResponse begins the check of another response to the last request. buffered is the part of it
 // that has been read. The caller must not be reading.
 func (c *Conn) NextResponse(buffered []byte) error {
@@ -134,9 +158,10 @@
 	return c.headErr
 }
 
-// awaitRequest waits until the request has been written and returns io.EOF, or an error if it could
-// not be written. The caller holds mu.
-func (c *Conn) awaitRequest() error {
+// awaitWrite waits until the request has been written.
+func (c *Conn) awaitWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for (c.writing || c.request.unfinished()) && c.writeErr == nil && !c.closed {
 		c.changed.Wait()
 	}
@@ -146,7 +171,32 @@
 	case c.writing || c.request.unfinished():
 		return net.ErrClosed
 	}
-	return io.EOF
+	return nil
+}
+
+// awaitDelivery waits until the peer's system has acknowledged all that was written. It does not
+// wait on connections whose system does not tell.
+func (c *Conn) awaitDelivery() error {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	for pause := minDeliveryCheck; ; pause = min(2*pause, maxDeliveryCheck) {
+		size, reset, err := unacknowledged(raw)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil || size == 0:
+			return nil
+		case reset:
+			return errResetBeforeDelivery
+		}
+		time.Sleep(pause)
+	}
 }
 
 // Close implements net.Conn.
--- a/relays/early_answer_test.go
+++ b/relays/early_answer_test.go
@@ -47,7 +47,7 @@
 	nodes := startNodes(t, 2)
 	nodes[0].links.Set(links.RefuseNew)
 	for name, tt := range tests {
-		for _, size := range []int{4 << 20, 16 << 20} {
+		for _, size := range []int{1 << 20, 4 << 20, 16 << 20} {
 			t.Run(fmt.Sprintf("%s, %d MiB", name, size>>20), func(t *testing.T) {
 				address, stop, err := tt.server.Start()
 				if err != nil {
--- a/replicas/early_answer_test.go
+++ b/replicas/early_answer_test.go
@@ -65,7 +65,7 @@
 		"in chunks, half-closed":                           {brokenhttp.Server{Bytes: head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", HalfClose: true}, true},
 	}
 	for name, tt := range tests {
-		for _, size := range []int{8 << 20, 32 << 20} {
+		for _, size := range []int{1 << 20, 8 << 20, 32 << 20} {
 			t.Run(fmt.Sprintf("%s, %d MiB", name, size>>20), func(t *testing.T) {
 				for range repeats {
 					body, err := upload(t, tt.server, size)
--- a/standin/brokenhttp/server.go
+++ b/standin/brokenhttp/server.go
@@ -13,6 +13,10 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// receiveBuffer is the size in bytes of the receive buffer of a connection whose upload is not read,
+// so that a long one does not fit.
+const receiveBuffer = 16 << 10
+
 // Server answers the first request of each connection with Bytes as soon as its head has arrived,
 // and then ends the connection.
 type Server struct {
@@ -56,6 +60,9 @@
 // serve serves one connection. Its errors show at the client.
 func (s Server) serve(c *net.TCPConn, answer string) {
 	defer func() { _ = c.Close() }()
+	if !s.ReadUpload {
+		_ = c.SetReadBuffer(receiveBuffer)
+	}
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
