Track requests whose method is not in upper case

A method may be any token, and a caller's is passed on. With one in lower case the connection counted as one that does not carry HTTP, and neither the ends nor the heads of the answers on it were checked any more.

A request begins with a character of a token now. Bytes of TLS begin with another one. Write errors are not held on such connections, where a reader may write.

Evidence: the case "method in lower case" of TestEndDuringRequest fails without the change.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -68,13 +68,13 @@
 	return guarded
 }
 
-// DialFunc opens connections for an http.Transport.
-type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+// dialFunc opens connections for an http.Transport.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial returns a function that opens connections with dial and returns each as a Conn that checks
-// heads. Its Write reports an error only when there is nothing left to read: an http.Transport that sees the error
-// discards a response that has arrived.
-func Dial(dial DialFunc) DialFunc {
+// Dial returns a function for an http.Transport that opens connections with dial and returns each as
+// a Conn that checks heads. Its Write reports an error only when there is nothing left to read, because
+// a transport that sees the error discards a response that has arrived.
+func Dial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
@@ -103,14 +103,15 @@
 		c.writeErr = err
 	}
 	c.changed.Broadcast()
-	for err != nil && c.holdWriteErrors && !c.ended && !c.closed {
+	hold := c.holdWriteErrors && c.request.phase != notHTTP
+	for err != nil && hold && !c.ended && !c.closed {
 		c.changed.Wait()
 	}
 	return n, err
 }
 
-// Read implements net.Conn. It returns io.EOF only if all that was begun to be written has been
-// written.
+// Read implements net.Conn. It returns io.EOF only if the request that was begun has been written and
+// delivered.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -38,6 +38,7 @@
 		"body, request without one, body": {post + "abcd" + get + post + "abcd", false},
 		"long line, part of a body":       {"POST /" + strings.Repeat("x", 100) + " HTTP/1.1\r\nContent-Length: 4\r\n\r\nabc", true},
 		"chunks, whose end is not sought": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab", false},
+		"method in lower case":            {strings.Replace(post, "POST", "post", 1), true},
 		"not HTTP":                        {"\x16\x03\x01Content-Length: 4\r\n\r\n", false},
 	}
 	for name, tt := range tests {
--- a/http1/request.go
+++ b/http1/request.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxTrackedLine is how much of a header line is kept in bytes, enough for those that state the
@@ -62,10 +64,10 @@
 	return begins
 }
 
-// begin begins a request if first may be the first byte of one: methods are in upper case.
+// begin begins a request if first may be the first byte of its method, which is a token.
 func (r *request) begin(first byte) {
 	*r = request{phase: notHTTP, line: r.line[:0]}
-	if first >= 'A' && first <= 'Z' {
+	if httpguts.IsTokenRune(rune(first)) {
 		r.phase = inHead
 	}
 }
--- a/replicas/client.go
+++ b/replicas/client.go
@@ -148,8 +148,9 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-// write sends the request. The rest of a body over maxInlineBodyBytes is written in the
-// background, because a replica may respond before it has read the whole body.
+// write sends the request. Most of a body over maxInlineBodyBytes is written in the
+// background, because a replica may respond before it has read the whole body. The head of
+// the request is written at once, because the check of the response's head begins with it.
 func (c *Client) write(conn *conn, e catkinspindle.Envelope, h http.Header) error {
 	w := bufio.NewWriterSize(conn.net, 4<<10)
 	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", e.Method, e.Target, e.Host)
