Ask for the state of a connection only when data is on its way

The end of a connection took two system calls to learn that all was acknowledged, one is enough. The rest of a head's line is skipped at once.

--- a/http1/queue_linux.go
+++ b/http1/queue_linux.go
@@ -14,12 +14,13 @@
 // whether it has reset the connection. After a reset the number does not change.
 func unacknowledged(conn syscall.RawConn) (size int, reset bool, err error) {
 	controlErr := conn.Control(func(fd uintptr) {
-		var info *unix.TCPInfo
-		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err != nil {
+		if size, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err != nil || size == 0 {
 			return
 		}
-		reset = info.State == tcpClose
-		size, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		var info *unix.TCPInfo
+		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			reset = info.State == tcpClose
+		}
 	})
 	return size, reset, errors.Join(controlErr, err)
 }
--- a/http1/response.go
+++ b/http1/response.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 
@@ -50,11 +51,15 @@
 // check reads p. It returns an error if it is not a part of a valid head; what follows the head is
 // not checked.
 func (h *responseHead) check(p []byte) error {
-	for _, b := range p {
-		if h.part == headEnded {
-			return nil
+	for i := 0; i < len(p) && h.part != headEnded; i++ {
+		if h.part == inReason || h.part == inValue {
+			rest := bytes.IndexByte(p[i:], '\n')
+			if rest < 0 {
+				return nil
+			}
+			i += rest
 		}
-		if err := h.next(b); err != nil {
+		if err := h.next(p[i]); err != nil {
 			return err
 		}
 	}
@@ -72,10 +77,8 @@
 		}
 	case inStatus:
 		return h.nextOfStatus(b)
-	case inReason, inValue:
-		if b == '\n' {
-			h.part = atLineStart
-		}
+	case inReason, inValue: // b ends the line.
+		h.part = atLineStart
 	case atLineStart:
 		return h.nextOfLine(b)
 	case inName:
