--- a/http1/conn.go
+++ b/http1/conn.go
@@ -68,13 +68,10 @@
 	return guarded
 }
 
-// dialFunc opens connections for an http.Transport.
-type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Dial returns a function for an http.Transport that opens connections with dial and returns each as
 // a Conn that checks heads. Its Write reports an error only when there is nothing left to read, because
 // a transport that sees the error discards a response that has arrived.
-func Dial(dial dialFunc) dialFunc {
+func Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
