Do not end an answer before the head of its request is written

What callers would see: a part of an answer without a length as a whole one, if its replica closes in order after it has read only the begin of a long head, and the rest meets a reset. net/http writes heads of over 4 KiB in parts, a relaying node as they arrive.

Cause: http1.Conn waited for the rest of a body, not of a head.

Evidence: the new case 'part of a head' of TestEndDuringRequest failed with writes of 1, 7 and 1024 bytes. By that test only; no replica was seen to do it.

A request has begun once its method has ended, so that bytes that are no request ('ping' in a test of relays) still keep no end back.

--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -31,6 +31,7 @@
 		"nothing":                         {"", false},
 		"request without a body":          {get, false},
 		"empty body":                      {"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", false},
+		"part of a head":                  {post[:len(post)-1], true},
 		"head":                            {post, true},
 		"part of a body":                  {post + "abc", true},
 		"body":                            {post + "abcd", false},
@@ -39,6 +40,7 @@
 		"long line, part of a body":       {"POST /" + strings.Repeat("x", 100) + " HTTP/1.1\r\nContent-Length: 4\r\n\r\nabc", true},
 		"chunks, whose end is not sought": {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab", false},
 		"method in lower case":            {strings.Replace(post, "POST", "post", 1), true},
+		"line that is not HTTP":           {"ping\nContent-Length: 4\r\n\r\n", false},
 		"not HTTP":                        {"\x16\x03\x01Content-Length: 4\r\n\r\n", false},
 	}
 	for name, tt := range tests {
--- a/http1/request.go
+++ b/http1/request.go
@@ -22,6 +22,8 @@
 const (
 	// betweenRequests is before the first byte of a request.
 	betweenRequests phase = iota
+	inMethod
+	// inHead is after the method.
 	inHead
 	inBody
 	// untracked is after the head of a request whose end is not known.
@@ -39,8 +41,9 @@
 	remaining int64
 }
 
-// unfinished reports whether a part of the body is not written yet.
-func (r *request) unfinished() bool { return r.phase == inBody }
+// unfinished reports whether a request has begun and its head, or its body of a known length, is not
+// written yet.
+func (r *request) unfinished() bool { return r.phase == inHead || r.phase == inBody }
 
 // advance moves on by p, which is written next. It reports whether a request begins in p.
 func (r *request) advance(p []byte) (begins bool) {
@@ -49,6 +52,8 @@
 		case betweenRequests:
 			r.begin(p[0])
 			begins = true
+		case inMethod:
+			p = r.advanceMethod(p)
 		case inHead:
 			p = r.advanceHead(p)
 		case inBody:
@@ -64,14 +69,29 @@
 	return begins
 }
 
-// begin begins a request if first may be the first byte of its method, which is a token.
+// begin begins a request if first may be the first byte of its method.
 func (r *request) begin(first byte) {
 	*r = request{phase: notHTTP, line: r.line[:0]}
 	if httpguts.IsTokenRune(rune(first)) {
-		r.phase = inHead
+		r.phase = inMethod
 	}
 }
 
+// advanceMethod moves on to the blank that ends the method and returns the rest of p.
+func (r *request) advanceMethod(p []byte) []byte {
+	for i, b := range p {
+		switch {
+		case b == ' ':
+			r.phase = inHead
+			return p[i:]
+		case !httpguts.IsTokenRune(rune(b)):
+			r.phase = notHTTP
+			return nil
+		}
+	}
+	return nil
+}
+
 // advanceHead moves on by the first line of p and returns the rest.
 func (r *request) advanceHead(p []byte) []byte {
 	line, rest, ended := bytes.Cut(p, []byte("\n"))
