Test that refusals during an upload arrive

A refusal with a length that comes while 8 MiB are still written must reach the router however its connection ends.

--- a/replicas/early_answer_test.go
+++ b/replicas/early_answer_test.go
@@ -12,8 +12,9 @@
 	"github.com/catkinspindle/catkinspindle/standin/brokenhttp"
 )
 
-// upload sends a body of size bytes to s and returns the answer's body.
-func upload(t *testing.T, s brokenhttp.Server, size int) (string, error) {
+// upload sends a body of size bytes to s and returns the answer's head and body. The error is that of
+// reading the body if there is a head.
+func upload(t *testing.T, s brokenhttp.Server, size int) (catkinspindle.AnswerHead, string, error) {
 	t.Helper()
 	address, stop, err := s.Start()
 	if err != nil {
@@ -33,7 +34,7 @@
 	e := catkinspindle.Envelope{ID: "a", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, size)}
 	answer, err := c.Send(ctx, e, catkinspindle.Attempt{Replica: catkinspindle.Replica{ID: "r", Address: address}, TimeLeft: 5 * time.Second}, false)
 	if err != nil {
-		return "", err
+		return catkinspindle.AnswerHead{}, "", err
 	}
 	body, err := io.ReadAll(answer.Body)
 	if closeErr := answer.Body.Close(); closeErr != nil {
@@ -42,7 +43,7 @@
 	if ctx.Err() != nil {
 		t.Error("the answer has not ended in time")
 	}
-	return string(body), err
+	return answer.AnswerHead, string(body), err
 }
 
 // A connection that breaks while the request is still written ends an answer without a length, which
@@ -68,7 +69,7 @@
 		for _, size := range []int{1 << 20, 8 << 20, 32 << 20} {
 			t.Run(fmt.Sprintf("%s, %d MiB", name, size>>20), func(t *testing.T) {
 				for range repeats {
-					body, err := upload(t, tt.server, size)
+					_, body, err := upload(t, tt.server, size)
 					if (err == nil) != tt.complete || tt.complete && body != "body" {
 						t.Fatalf("body %q, error %v; want a complete answer: %t", body, err, tt.complete)
 					}
@@ -77,3 +78,27 @@
 		}
 	}
 }
+
+// A refusal that arrives while the request is still written holds, however its connection ends.
+func TestEarlyRefusals(t *testing.T) {
+	const (
+		refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		size    = 8 << 20
+		repeats = 10
+	)
+	tests := map[string]brokenhttp.Server{
+		"reset":                          {Bytes: refusal, Reset: true},
+		"closed":                         {Bytes: refusal},
+		"half-closed":                    {Bytes: refusal, HalfClose: true},
+		"half-closed, upload read later": {Bytes: refusal, HalfClose: true, ReadUpload: true},
+	}
+	for name, server := range tests {
+		t.Run(name, func(t *testing.T) {
+			for range repeats {
+				if head, _, err := upload(t, server, size); err != nil || !head.NotRun {
+					t.Fatalf("head %+v, error %v; want a refusal", head, err)
+				}
+			}
+		})
+	}
+}
