--- a/review/harness3/app.go
+++ b/review/harness3/app.go
@@ -20,6 +20,8 @@
 	id     string
 	body   string
 	record *record
+	// quiet leaves the requests out of the record.
+	quiet bool
 
 	mu  sync.Mutex
 	ran map[string]int
@@ -27,9 +29,13 @@
 	brokenOff map[string]bool
 }
 
+func newApp(r *record, id, body string) *app {
+	return &app{id: id, body: body, record: r, ran: map[string]int{}, brokenOff: map[string]bool{}}
+}
+
 // addApp starts and registers a replica whose answers have the given body.
 func (s *site) addApp(id, body string) error {
-	s.app = &app{id: id, body: body, record: s.record, ran: map[string]int{}, brokenOff: map[string]bool{}}
+	s.app = newApp(s.record, id, body)
 	address, err := s.serve(s.app)
 	if err != nil {
 		return err
@@ -65,11 +71,15 @@
 	a.mu.Lock()
 	a.ran[id]++
 	a.mu.Unlock()
-	a.record.line("%s: runs %s %s", a.id, r.Method, id)
+	if !a.quiet {
+		a.record.line("%s: runs %s %s", a.id, r.Method, id)
+	}
 	w.Header().Set("Response-Seal", a.id+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	err := a.write(w)
-	a.record.line("%s: answer to %s is written, error: %v", a.id, id, err)
+	if !a.quiet {
+		a.record.line("%s: answer to %s is written, error: %v", a.id, id, err)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.brokenOff[id] = errors.Is(err, os.ErrDeadlineExceeded)
--- /dev/null
+++ b/review/harness3/leaving_requesters.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	leavingAnswer = 1 << 20
+	// leavingRead is how much of its answer a requester reads before it leaves.
+	leavingRead     = 128 << 10
+	leavingTime     = 60 * time.Second
+	leavingAtATime  = 16
+	leavingReplicas = 4
+	// acceptPause is the pause of a busy replica between two channels that it accepts.
+	acceptPause = 15 * time.Millisecond
+	// ownEnds is how often a process may end by itself on so many machines before the day counts 0, less one.
+	ownEnds, ownEndMachines = 3, 2
+)
+
+// busyListener is the listener of a replica whose queue of new channels is short and often full.
+type busyListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l busyListener) Accept() (net.Conn, error) {
+	time.Sleep(acceptPause)
+	return l.Listener.Accept()
+}
+
+func listenBusy() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), 1) }); err != nil {
+		return nil, err
+	}
+	return busyListener{l}, listenErr
+}
+
+// leavingRequesters has requesters that leave in the middle of a large answer, and replicas whose queue of new
+// channels is often full, so that nodes reach them over other nodes.
+func leavingRequesters(s *site, trouble bool) ([]string, error) {
+	body := strings.Repeat("0123456789abcdef", leavingAnswer/16)
+	for i := range leavingReplicas {
+		l, err := listenBusy()
+		if err != nil {
+			return nil, err
+		}
+		a := newApp(s.record, fmt.Sprintf("app-%d", i+1), body)
+		a.quiet = true
+		server := &http.Server{Handler: a}
+		s.servers.Go(func() error { return server.Serve(l) })
+		s.register(a.id, l.Addr().String())
+	}
+	s.configure([]map[string]any{route("act", "non_idempotent", 10*time.Second)})
+	if err := s.startNodes(3); err != nil {
+		return nil, err
+	}
+	time.Sleep(inTouch)
+	end := time.Now().Add(leavingTime)
+	var group errgroup.Group
+	for i := range leavingAtATime {
+		group.Go(func() error {
+			for n := 0; time.Now().Before(end); n++ {
+				s.readAndLeave(s.nodes[(i+n)%len(s.nodes)], fmt.Sprintf("leaving-%d-%d", i, n), trouble)
+			}
+			return nil
+		})
+	}
+	ends := s.restartEnded(end)
+	_ = group.Wait() // The functions return no errors.
+	machines := 0
+	var broken []string
+	for _, nd := range s.nodes {
+		s.record.line("%s: its process has ended by itself %d times", nd.name, ends[nd.name])
+		if ends[nd.name] >= ownEnds {
+			machines++
+			broken = append(broken, fmt.Sprintf("%s: its process has ended by itself %d times", nd.name, ends[nd.name]))
+		}
+	}
+	if machines < ownEndMachines {
+		return nil, nil
+	}
+	return broken, nil
+}
+
+// restartEnded starts processes again that end by themselves, as the platform does, and counts the ends.
+func (s *site) restartEnded(end time.Time) map[string]int {
+	ends := map[string]int{}
+	for ; time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, nd := range s.nodes {
+			if nd.runs() {
+				continue
+			}
+			ends[nd.name]++
+			if err := s.start(nd); err != nil {
+				s.record.line("%s: %v", nd.name, err)
+			}
+		}
+	}
+	return ends
+}
+
+// readAndLeave sends a request, reads a part of the answer and leaves; without the disruption it reads all.
+func (s *site) readAndLeave(nd *node, id string, leaves bool) {
+	c, err := net.DialTimeout("tcp", nd.front, time.Second)
+	if err != nil {
+		time.Sleep(100 * time.Millisecond)
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, getRequest("/act/"+id, id, 10*time.Second)); err != nil {
+		return
+	}
+	limit := int64(leavingRead)
+	if !leaves {
+		limit = leavingAnswer
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c, limit))
+}
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -20,9 +20,10 @@
 
 // cases has the cases by name. Each returns what it has seen to break the rule, nothing if the rule held.
 var cases = map[string]func(s *site, trouble bool) (broken []string, err error){
-	"directory-crowd": directoryCrowd,
-	"slow-reader":     slowReader,
-	"stopped-stream":  stoppedStream,
+	"directory-crowd":    directoryCrowd,
+	"leaving-requesters": leavingRequesters,
+	"slow-reader":        slowReader,
+	"stopped-stream":     stoppedStream,
 }
 
 func main() {
