--- a/review/harness3/leaving_requesters.go
+++ b/review/harness3/leaving_requesters.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -19,6 +20,9 @@
 	leavingTime     = 60 * time.Second
 	leavingAtATime  = 16
 	leavingReplicas = 4
+	// Of each leavingPeriod, leavingOf ten requesters leave in the first leavingSpell.
+	leavingPeriod, leavingSpell = 8 * time.Second, 5500 * time.Millisecond
+	leavingOf                   = 3
 	// acceptPause is the pause of a busy replica between two channels that it accepts.
 	acceptPause = 15 * time.Millisecond
 	// ownEnds is how often a process may end by itself on so many machines before the day counts 0, less one.
@@ -70,12 +74,14 @@
 		return nil, err
 	}
 	time.Sleep(inTouch)
-	end := time.Now().Add(leavingTime)
+	start := time.Now()
+	end := start.Add(leavingTime)
 	var group errgroup.Group
 	for i := range leavingAtATime {
 		group.Go(func() error {
 			for n := 0; time.Now().Before(end); n++ {
-				s.readAndLeave(s.nodes[(i+n)%len(s.nodes)], fmt.Sprintf("leaving-%d-%d", i, n), trouble)
+				leaves := trouble && time.Since(start)%leavingPeriod < leavingSpell && rand.IntN(10) < leavingOf
+				s.readAndLeave(s.nodes[(i+n)%len(s.nodes)], fmt.Sprintf("leaving-%d-%d", i, n), leaves)
 			}
 			return nil
 		})
--- a/review/harness3/stopped_stream.go
+++ b/review/harness3/stopped_stream.go
@@ -9,7 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -19,23 +23,29 @@
 	piecePause   = 20 * time.Millisecond
 	// stoppedPiece is the event in the middle of which a replica stops, stopDelay the time until it resets the
 	// channel.
-	stoppedPiece  = 4
-	stopDelay     = 200 * time.Millisecond
-	streams       = 10
+	stoppedPiece = 4
+	stopDelay    = 200 * time.Millisecond
+	// streams is the number of streams, streamsAtATime how many run at the same time.
+	streams        = 480
+	streamsAtATime = 12
+	// Two of four replicas (share 0.5) stop one of stopEvery of their answers (x 0.05).
+	stopEvery     = 20
 	streamTimeout = 10 * time.Second
 )
 
 // streamer is a replica that streams events.
 type streamer struct {
-	id      string
-	record  *record
-	trouble bool
+	id     string
+	record *record
+	// stops is true if the replica stops some of its answers.
+	stops bool
+	begun atomic.Int64
 }
 
 // stoppedStream has replicas that stop in the middle of an event of a stream that may be resumed.
 func stoppedStream(s *site, trouble bool) ([]string, error) {
-	for _, id := range []string{"app-1", "app-2", "app-3"} {
-		address, err := s.serve(&streamer{id, s.record, trouble})
+	for i, id := range []string{"app-1", "app-2", "app-3", "app-4"} {
+		address, err := s.serve(&streamer{id: id, record: s.record, stops: trouble && i < 2})
 		if err != nil {
 			return nil, err
 		}
@@ -48,19 +58,34 @@
 		return nil, err
 	}
 	time.Sleep(inTouch)
-	var broken []string
+	var (
+		mu     sync.Mutex
+		broken []string
+		whole  int
+		group  errgroup.Group
+	)
+	group.SetLimit(streamsAtATime)
 	for i := range streams {
-		id := fmt.Sprintf("stream-%d", i)
-		ids, err := s.readStream(s.nodes[i%len(s.nodes)], id)
-		s.record.line("requester: %s: whole events %v, end: %v", id, ids, err)
-		if err == nil {
-			err = checkPieces(ids)
-		} else {
-			err = nil // A stream that is cut off is no fault here.
-		}
-		if err != nil {
-			broken = append(broken, id+": "+err.Error())
-		}
+		group.Go(func() error {
+			id := fmt.Sprintf("stream-%d", i)
+			ids, err := s.readStream(s.nodes[i%len(s.nodes)], id)
+			s.record.line("requester: %s: events %v, end: %v", id, ids, err)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				return nil // A stream that does not end as complete is no fault here.
+			}
+			whole++
+			if err := checkPieces(ids); err != nil {
+				broken = append(broken, id+": "+err.Error())
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // The functions return no errors.
+	s.record.line("%d of %d streams ended as complete, %d of them with wrong events", whole, streams, len(broken))
+	if whole == 0 {
+		return nil, fmt.Errorf("%w: no stream ended as complete", errCannotRun)
 	}
 	return broken, nil
 }
@@ -88,20 +113,23 @@
 	after := r.Header.Get("Last-Event-Id")
 	first, _ := strconv.Atoi(after) // It is empty at the begin of a stream.
 	t.record.line("%s: runs %s after event %q", t.id, id, after)
+	stopsAt := 0
+	if after == "" && t.stops && t.begun.Add(1)%stopEvery == 0 {
+		stopsAt = stoppedPiece
+	}
 	w.Header().Set("Response-Seal", t.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := first + 1; n <= streamPieces; n++ {
 		time.Sleep(piecePause)
 		text := fmt.Sprintf("id: %d\ndata: %s\n", n, piece(n))
-		stops := t.trouble && after == "" && n == stoppedPiece
-		if !stops {
+		if n != stopsAt {
 			text += "\n"
 		}
 		if _, err := io.WriteString(w, text); err != nil || control.Flush() != nil {
 			return
 		}
-		if stops {
+		if n == stopsAt {
 			time.Sleep(stopDelay)
 			t.record.line("%s: resets %s in the middle of event %d", t.id, id, n)
 			panic(http.ErrAbortHandler)
