--- a/review/harness3/directory_crowd.go
+++ b/review/harness3/directory_crowd.go
@@ -19,6 +19,8 @@
 	crowdDialers = 2
 	// crowdPause is the pause of a dialer between two clients.
 	crowdPause = 6 * time.Millisecond
+	// lateCrowdPause is the pause between two clients that arrive later.
+	lateCrowdPause = 50 * time.Millisecond
 	// ordinaryRequesters is the number of requesters that try at the same time.
 	ordinaryRequesters = 10
 	ordinaryTime       = 20 * time.Second
@@ -41,7 +43,7 @@
 	)
 	for i, nd := range s.nodes {
 		group.Go(func() error {
-			crowds[i] = s.openCrowd(nd, trouble)
+			crowds[i] = s.openCrowd(nd, crowdSize, crowdDialers, crowdPause, trouble)
 			return nil
 		})
 	}
@@ -52,7 +54,15 @@
 		}
 	}()
 	time.Sleep(time.Second)
+	// Further clients arrive meanwhile, since channels of the crowd that were not yet read may have made room.
+	for i, nd := range s.nodes {
+		group.Go(func() error {
+			crowds[i] = append(crowds[i], s.openCrowd(nd, int(ordinaryTime/lateCrowdPause), 1, lateCrowdPause, trouble)...)
+			return nil
+		})
+	}
 	tries, served := s.tryOrdinaryRequesters()
+	_ = group.Wait() // The functions return no errors.
 	for _, nd := range s.nodes {
 		s.record.line("%s: ready: %t, process runs: %t", nd.name, isReady(nd), nd.runs())
 	}
@@ -64,7 +74,7 @@
 }
 
 // openCrowd opens the crowd of a node. Without the disruption the bodies are complete.
-func (s *site) openCrowd(nd *node, trouble bool) []net.Conn {
+func (s *site) openCrowd(nd *node, size, dialers int, pause time.Duration, trouble bool) []net.Conn {
 	request := fmt.Sprintf("GET /api/resolve?name=%s&region=r1&zone=z1 HTTP/1.1\r\nHost: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n", host, nd.directory)
 	if !trouble {
 		request += "0\r\n\r\n"
@@ -74,9 +84,9 @@
 		group errgroup.Group
 		crowd []net.Conn
 	)
-	for range crowdDialers {
+	for range dialers {
 		group.Go(func() error {
-			for range crowdSize / crowdDialers {
+			for range size / dialers {
 				c, err := net.DialTimeout("tcp", nd.directory, time.Second)
 				if err == nil {
 					_, err = io.WriteString(c, request)
@@ -86,7 +96,7 @@
 					crowd = append(crowd, c)
 					mu.Unlock()
 				}
-				time.Sleep(crowdPause)
+				time.Sleep(pause)
 			}
 			return nil
 		})
