--- a/review/harness3/directory_crowd.go
+++ b/review/harness3/directory_crowd.go
@@ -21,6 +21,8 @@
 	crowdPause = 6 * time.Millisecond
 	// lateCrowdPause is the pause between two clients that arrive later.
 	lateCrowdPause = 50 * time.Millisecond
+	// lateCrowdTime is the time for which they arrive before ordinary requesters begin.
+	lateCrowdTime = 8 * time.Second
 	// ordinaryRequesters is the number of requesters that try at the same time.
 	ordinaryRequesters = 10
 	ordinaryTime       = 20 * time.Second
@@ -53,14 +55,14 @@
 			_ = c.Close()
 		}
 	}()
-	time.Sleep(time.Second)
 	// Further clients arrive meanwhile, since channels of the crowd that were not yet read may have made room.
 	for i, nd := range s.nodes {
 		group.Go(func() error {
-			crowds[i] = append(crowds[i], s.openCrowd(nd, int(ordinaryTime/lateCrowdPause), 1, lateCrowdPause, trouble)...)
+			crowds[i] = append(crowds[i], s.openCrowd(nd, int((lateCrowdTime+ordinaryTime)/lateCrowdPause), 1, lateCrowdPause, trouble)...)
 			return nil
 		})
 	}
+	time.Sleep(lateCrowdTime)
 	tries, served := s.tryOrdinaryRequesters()
 	_ = group.Wait() // The functions return no errors.
 	for _, nd := range s.nodes {
