--- a/review/harness3/leaving_requesters.go
+++ b/review/harness3/leaving_requesters.go
@@ -19,7 +19,7 @@
 	leavingAnswer = 1 << 20
 	// leavingRead is how much of its answer a requester reads before it leaves.
 	leavingRead     = 128 << 10
-	leavingTime     = 30 * time.Second
+	leavingTime     = 60 * time.Second
 	leavingAtATime  = 16
 	leavingReplicas = 4
 	// Of each leavingPeriod, leavingOf ten requesters leave in the first leavingSpell.
