--- a/review/harness3/stopped_stream.go
+++ b/review/harness3/stopped_stream.go
@@ -28,7 +28,7 @@
 	// streams is the number of streams, streamsAtATime how many run at the same time.
 	streams        = 480
 	streamsAtATime = 12
-	// Two of four replicas (share 0.5) stop one of stopEvery of their answers (x 0.05).
+	// Two of four replicas (share 0.5) stop one of stopEvery of their answers (x 0.02).
 	stopEvery     = 20
 	streamTimeout = 10 * time.Second
 )
